--- /dev/null
+++ b/Source/base/metrics.h
@@ -0,0 +1,72 @@
+// Counters and latency histograms of a process, in shards so that threads do
+// not contend.
+
+#ifndef SOURCE_BASE_METRICS_H_
+#define SOURCE_BASE_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/strings/string_view.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+#include "boost/histogram.hpp"
+
+namespace heatherwick {
+
+// Latency distribution from 10 us to 100 s on a logarithmic axis.
+class LatencyHistogram {
+ public:
+  LatencyHistogram();
+
+  void Add(absl::Duration latency);
+  void Merge(const LatencyHistogram& other);
+  uint64_t Count() const { return m_count; }
+  // Upper edge of the bin that holds the quantile, 0 <= quantile <= 1;
+  // zero when nothing was added. The relative error is below 6%.
+  absl::Duration Quantile(double quantile) const;
+
+ private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram = boost::histogram::histogram<std::tuple<Axis>>;
+
+  Histogram m_histogram;
+  uint64_t m_count = 0;
+};
+
+class Metrics {
+ public:
+  // Both are thread-safe. Names are snake_case, with "/" and a label value
+  // behind where a metric has one: "requests/done".
+  void Count(absl::string_view name, uint64_t amount = 1);
+  void Observe(absl::string_view name, absl::Duration latency);
+
+  std::map<std::string, uint64_t> Counters() const;
+  std::map<std::string, LatencyHistogram> Latencies() const;
+  // {"counters":{...},"latencies_ms":{name:{count,p50,p99,p999}}}
+  std::string ToJson() const;
+
+ private:
+  static constexpr size_t kShards = 16;
+  struct Shard {
+    mutable absl::Mutex mutex;
+    std::map<std::string, uint64_t, std::less<>> counters
+        ABSL_GUARDED_BY(mutex);
+    std::map<std::string, LatencyHistogram, std::less<>> latencies
+        ABSL_GUARDED_BY(mutex);
+  };
+
+  Shard& ShardOfThread();
+
+  std::array<Shard, kShards> m_shards;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_BASE_METRICS_H_
--- /dev/null
+++ b/Source/decision/session_token.h
@@ -0,0 +1,38 @@
+// The progress of a session, carried by its caller from reply to request.
+
+#ifndef SOURCE_DECISION_SESSION_TOKEN_H_
+#define SOURCE_DECISION_SESSION_TOKEN_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Source/base/error.h"
+#include "Source/base/types.h"
+#include "absl/strings/string_view.h"
+
+namespace heatherwick {
+
+struct SessionToken {
+  // Newest confirmed position that the session has written or read, for each
+  // group. Unconfirmed positions never enter: a promotion may abandon them,
+  // and the session's reads would then wait for ever.
+  std::map<GroupName, Position> positions;
+  // Newest sheet that has served the session.
+  uint64_t sheet_version = 0;
+
+  // Keeps the greater of both positions.
+  void Advance(const GroupName& group, Position position);
+  Position PositionOf(const GroupName& group) const;
+
+  // CBOR behind an xxHash64 checksum; about 30 bytes for each group.
+  std::string Encode() const;
+  // An empty text is the token of a new session.
+  static Result<SessionToken> Decode(absl::string_view text);
+
+  bool operator==(const SessionToken&) const = default;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_DECISION_SESSION_TOKEN_H_
