--- /dev/null
+++ b/Source/runtime/channel_pool.h
@@ -0,0 +1,32 @@
+// gRPC channels by address, shared by every client of the process.
+
+#ifndef SOURCE_RUNTIME_CHANNEL_POOL_H_
+#define SOURCE_RUNTIME_CHANNEL_POOL_H_
+
+#include <memory>
+#include <string>
+
+#include "Source/kernel/shard_map.h"
+#include "grpcpp/channel.h"
+
+namespace heatherwick {
+
+class ChannelPool {
+ public:
+  // Thread-safe. The channel connects on first use and reconnects with a
+  // back-off of at most one second.
+  std::shared_ptr<grpc::Channel> Get(const std::string& address);
+  // Forgets the channel of an instance that is gone.
+  void Remove(const std::string& address);
+
+ private:
+  struct Entry {
+    std::shared_ptr<grpc::Channel> channel;
+  };
+
+  ShardMap<std::string, Entry> m_channels;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_RUNTIME_CHANNEL_POOL_H_
--- /dev/null
+++ b/Source/runtime/cluster_view.h
@@ -0,0 +1,81 @@
+// What the request path knows about the other instances and the sheet. The
+// managers of members and of sheets implement these interfaces.
+
+#ifndef SOURCE_RUNTIME_CLUSTER_VIEW_H_
+#define SOURCE_RUNTIME_CLUSTER_VIEW_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Source/base/types.h"
+#include "Source/decision/sheet.h"
+#include "Source/proto/operator.pb.h"
+#include "Source/proto/peer.pb.h"
+#include "absl/time/time.h"
+
+namespace heatherwick {
+
+struct SheetSnapshot {
+  uint64_t version = 0;  // 0: no sheet yet.
+  std::shared_ptr<const Sheet> sheet;
+};
+
+// All methods are thread-safe.
+class SheetSource {
+ public:
+  virtual ~SheetSource() = default;
+
+  // Cheap enough for every request.
+  virtual SheetSnapshot Current() const = 0;
+  // Fetches a sheet of at least `version` in the background. `peer_address`
+  // is an instance that has it, or empty.
+  virtual void Seek(uint64_t version, const std::string& peer_address) = 0;
+  // Returns whether a sheet of at least `version` is in force by `deadline`.
+  virtual bool WaitFor(uint64_t version, absl::Time deadline) = 0;
+
+  // Calls of peers and operators.
+  virtual void FetchSheet(const proto::FetchSheetRequest& request,
+                          proto::FetchSheetReply* reply) = 0;
+  virtual void CheckSheet(const proto::CheckSheetRequest& request,
+                          proto::CheckSheetReply* reply) = 0;
+  virtual void SubmitSheet(const proto::SubmitSheetRequest& request,
+                           proto::SubmitSheetReply* reply) = 0;
+  virtual void GetSheet(const proto::GetSheetRequest& request,
+                        proto::GetSheetReply* reply) = 0;
+  virtual void SheetHistory(const proto::SheetHistoryRequest& request,
+                            proto::SheetHistoryReply* reply) = 0;
+};
+
+struct MemberInfo {
+  InstanceId id;
+  std::string address;
+  DataCentreName data_centre;
+  std::string region;
+  std::string incarnation;
+  bool suspect = false;
+};
+
+// All methods are thread-safe.
+class MemberSource {
+ public:
+  virtual ~MemberSource() = default;
+
+  // The instances that may serve groups, this one included, without leaving
+  // and dead ones. Changes only when membership does; cheap to call.
+  virtual std::shared_ptr<const std::vector<MemberInfo>> Members() const = 0;
+  // A call to the member failed; it is probed at once.
+  virtual void ReportUnreachable(const InstanceId& id) = 0;
+  // Announces that this instance is leaving. Returns when the announcement
+  // has been sent to the region's members or after one second.
+  virtual void Leave() = 0;
+
+  virtual void Probe(const proto::ProbeRequest& request,
+                     proto::ProbeReply* reply) = 0;
+  virtual void ListMembers(proto::ListMembersReply* reply) = 0;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_RUNTIME_CLUSTER_VIEW_H_
