--- /dev/null
+++ b/Source/programs/heatherwickd.cc
@@ -0,0 +1,101 @@
+// The daemon's entry point: settings, signals, start and stop.
+
+#include <signal.h>
+#include <time.h>
+
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Source/base/settings.h"
+#include "Source/runtime/daemon.h"
+#include "Source/runtime/daemon_options.h"
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace heatherwick {
+namespace {
+
+constexpr int kUsageStatus = 2;
+constexpr int kStartFailedStatus = 3;
+constexpr timespec kSignalPoll = {.tv_sec = 0, .tv_nsec = 100'000'000};
+
+// Blocks the stop signals in every thread, so that only the wait below
+// receives them.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void WaitForStop(const sigset_t& signals, const Daemon& daemon) {
+  while (!daemon.DrainRequested()) {
+    if (sigtimedwait(&signals, nullptr, &kSignalPoll) > 0) {
+      return;
+    }
+  }
+}
+
+void PrintSettings(const ParsedSettings& parsed) {
+  for (const SettingInForce& setting : parsed.in_force) {
+    std::cout << setting.name << "=" << setting.value << " ("
+              << SettingSourceName(setting.source) << ")\n";
+  }
+}
+
+int Run(int argc, char** argv) {
+  DaemonOptions options;
+  const SettingsParser settings = MakeDaemonSettings(&options);
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  const auto parsed =
+      settings.Parse(arguments, SettingsParser::ProcessEnvironment());
+  if (!Ok(parsed)) {
+    std::cerr << "heatherwickd: " << ErrorOf(parsed).Describe()
+              << "\nsee heatherwickd --help\n";
+    return kUsageStatus;
+  }
+  options.parsed = ValueOf(parsed);
+  if (options.parsed.help_requested) {
+    std::cout << settings.Help();
+    return 0;
+  }
+  if (!options.parsed.arguments.empty()) {
+    std::cerr << "heatherwickd: unexpected argument \""
+              << options.parsed.arguments.front()
+              << "\"; settings are flags, see heatherwickd --help\n";
+    return kUsageStatus;
+  }
+  if (options.print_settings) {
+    PrintSettings(options.parsed);
+    return 0;
+  }
+  const sigset_t signals = BlockStopSignals();
+  auto started = Daemon::Start(options);
+  if (!Ok(started)) {
+    std::cerr << "heatherwickd: " << ErrorOf(started).Describe() << "\n";
+    return kStartFailedStatus;
+  }
+  const std::unique_ptr<Daemon> daemon = std::move(ValueOf(started));
+  LOG(INFO) << "started instance=" << options.instance_id
+            << " listen=" << options.listen;
+  WaitForStop(signals, *daemon);
+  LOG(INFO) << "stopping instance=" << options.instance_id;
+  daemon->Stop();
+  LOG(INFO) << "stopped instance=" << options.instance_id;
+  return 0;
+}
+
+}  // namespace
+}  // namespace heatherwick
+
+int main(int argc, char** argv) {
+  // Instances have no disks: the log goes to standard error.
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  return heatherwick::Run(argc, argv);
+}
--- /dev/null
+++ b/Source/runtime/daemon.cc
@@ -0,0 +1,199 @@
+// Assembly, start and graceful stop of an instance.
+
+#include "Source/runtime/daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Source/kernel/registry.h"
+#include "absl/random/random.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "glog/logging.h"
+#include "grpcpp/security/server_credentials.h"
+#include "grpcpp/server_builder.h"
+
+namespace heatherwick {
+
+namespace {
+
+constexpr absl::Duration kTickPeriod = absl::Milliseconds(5);
+constexpr absl::Duration kReconcilePeriod = absl::Milliseconds(200);
+// Peers and the balancer learn within this time that the instance leaves;
+// until then it still receives and forwards requests.
+constexpr absl::Duration kLeaveNotice = absl::Seconds(1);
+constexpr absl::Duration kStopPoll = absl::Milliseconds(20);
+
+std::string NewIncarnation() {
+  absl::BitGen random;
+  return absl::StrCat(absl::ToUnixMillis(absl::Now()), "-",
+                      absl::Hex(absl::Uniform<uint32_t>(random)));
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Daemon>> Daemon::Start(const DaemonOptions& options) {
+  std::unique_ptr<Daemon> daemon(new Daemon(options));
+  const Status created = daemon->CreateParts();
+  if (!Ok(created)) {
+    return ErrorOf(created);
+  }
+  const Status started = daemon->StartServer();
+  if (!Ok(started)) {
+    return ErrorOf(started);
+  }
+  return daemon;
+}
+
+Daemon::Daemon(const DaemonOptions& options)
+    : m_options(options),
+      m_decision_log(options.log_level,
+                     static_cast<uint32_t>(options.decision_lines)) {}
+
+Daemon::~Daemon() {
+  Stop();
+}
+
+Status Daemon::CreateParts() {
+  auto store = Registry<StoreClient, const std::string&>::Create(
+      m_options.store, m_options.platform);
+  if (!Ok(store)) {
+    return ErrorOf(store);
+  }
+  m_store = std::move(ValueOf(store));
+  auto driver = Registry<TargetDriver, ChannelPool*>::Create(
+      m_options.target_driver, &m_channels);
+  if (!Ok(driver)) {
+    return ErrorOf(driver);
+  }
+  m_driver = std::move(ValueOf(driver));
+  const auto scheduler = GroupScheduler::Create(m_options.scheduler);
+  if (!Ok(scheduler)) {
+    return ErrorOf(scheduler);
+  }
+
+  const MemberInfo self{m_options.instance_id, m_options.listen,
+                        m_options.data_centre, m_options.region,
+                        NewIncarnation()};
+  const auto log = [this](const DecisionRecord& record) {
+    m_decision_log.Write(record, absl::Now());
+  };
+  MemberManagerOptions members;
+  members.own = self;
+  members.store = m_store.get();
+  members.channels = &m_channels;
+  members.decisions = log;
+  members.own_sheet_version = [this] {
+    return m_sheets == nullptr ? 0 : m_sheets->Current().version;
+  };
+  members.on_newer_sheet = [this](const InstanceId& /*id*/,
+                                  const std::string& address,
+                                  uint64_t version) {
+    if (m_sheets != nullptr) {
+      m_sheets->Seek(version, address);
+    }
+  };
+  m_members = std::make_unique<MemberManager>(std::move(members));
+
+  SheetManagerOptions sheets;
+  sheets.own_id = self.id;
+  sheets.store = m_store.get();
+  sheets.channels = &m_channels;
+  sheets.decisions = log;
+  sheets.is_poller = [this] { return m_members->IsStorePoller(); };
+  sheets.peer_addresses = [this, self] {
+    std::vector<std::string> addresses;
+    for (const MemberInfo& member : *m_members->Members()) {
+      if (member.id != self.id) {
+        addresses.push_back(member.address);
+      }
+    }
+    return addresses;
+  };
+  m_sheets = std::make_unique<SheetManager>(std::move(sheets));
+
+  m_home_context = {self, m_driver.get(), &m_decision_log, &m_metrics,
+                    m_options.scheduler};
+  m_homes = std::make_unique<HomeDirectory>(&m_home_context, m_sheets.get(),
+                                            m_members.get());
+  m_timers = std::make_unique<TimerQueue>();
+  m_routing.self = self;
+  m_routing.incarnation = [this] { return m_members->Incarnation(); };
+  m_routing.homes = m_homes.get();
+  m_routing.members = m_members.get();
+  m_routing.sheets = m_sheets.get();
+  m_routing.channels = &m_channels;
+  m_routing.timers = m_timers.get();
+  m_routing.decision_log = &m_decision_log;
+  m_routing.metrics = &m_metrics;
+  m_proxy_service = std::make_unique<ProxyService>(&m_routing);
+  m_peer_service = std::make_unique<PeerService>(&m_routing);
+  m_operator_service = std::make_unique<OperatorService>(
+      &m_routing, [this] { m_drain_requested = true; });
+  return std::monostate{};
+}
+
+Status Daemon::StartServer() {
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(m_options.listen, grpc::InsecureServerCredentials(),
+                           &port);
+  // Without this, a second process could bind the same address and take a
+  // part of the calls.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS,
+                              static_cast<int>(m_options.threads));
+  builder.RegisterService(m_proxy_service.get());
+  builder.RegisterService(m_peer_service.get());
+  builder.RegisterService(m_operator_service.get());
+  m_server = builder.BuildAndStart();
+  if (m_server == nullptr || port == 0) {
+    return Error{ErrorKind::kInvalidArgument,
+                 absl::StrCat("cannot listen on ", m_options.listen),
+                 "choose a free address of this machine with --listen"};
+  }
+  m_members->Start();
+  m_sheets->Start();
+  m_ticks = std::thread([this] { RunTicks(); });
+  return std::monostate{};
+}
+
+void Daemon::RunTicks() {
+  absl::Time next_reconcile = absl::InfinitePast();
+  while (!m_stopping) {
+    const absl::Time now = absl::Now();
+    if (now >= next_reconcile) {
+      m_homes->Reconcile();
+      next_reconcile = now + kReconcilePeriod;
+    }
+    m_homes->Tick();
+    absl::SleepFor(kTickPeriod);
+  }
+}
+
+void Daemon::Stop() {
+  if (m_server == nullptr) {
+    return;
+  }
+  const absl::Time start = absl::Now();
+  m_homes->StartDraining();
+  m_members->Leave();
+  while (absl::Now() < start + m_options.stop_timeout) {
+    const bool idle = m_homes->Active() == 0 && m_routing.in_flight == 0;
+    if (idle && absl::Now() >= start + kLeaveNotice) {
+      break;
+    }
+    absl::SleepFor(kStopPoll);
+  }
+  // Requests that arrived in the meantime still end.
+  m_server->Shutdown(absl::ToChronoTime(absl::Now() + absl::Milliseconds(500)));
+  m_stopping = true;
+  m_ticks.join();
+  m_sheets->Stop();
+  m_members->Stop();
+  m_homes->CloseAll();
+  m_server->Wait();
+  m_server.reset();
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/runtime/group_home.cc
@@ -0,0 +1,1036 @@
+// Events of one group and the actions that follow from them.
+
+#include "Source/runtime/group_home.h"
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+
+#include "Source/base/hash.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "absl/time/clock.h"
+
+namespace heatherwick {
+
+namespace {
+
+constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
+constexpr absl::Duration kStatusTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kFenceTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kTransactionIdleLimit = absl::Seconds(30);
+// A statement that is this late is stuck on a target that is gone.
+constexpr absl::Duration kStuckAfterDeadline = absl::Seconds(1);
+// Attempts to settle one request before its outcome is reported as unknown.
+constexpr uint32_t kMaxAttempts = 4;
+// Control calls have their own connections, and an old and a new home of the
+// group may both hold theirs for a while.
+constexpr uint32_t kReservedConnections = 2;
+constexpr uint32_t kHomesAtOnce = 2;
+
+std::string NewHomeId(const MemberInfo& self) {
+  static std::atomic<uint64_t> next{1};
+  return absl::StrCat(self.id, "/", self.incarnation, "/", next++);
+}
+
+Position FromProto(const proto::Position& position) {
+  return {position.term(), position.lsn()};
+}
+
+void ToProto(Position position, proto::Position* out) {
+  out->set_term(position.term);
+  out->set_lsn(position.lsn);
+}
+
+TargetStatus FromProto(const proto::StatusReply& reply) {
+  TargetStatus status;
+  status.incarnation = reply.incarnation();
+  status.term = reply.term();
+  status.primary = reply.primary();
+  status.last = FromProto(reply.last());
+  status.age = absl::Milliseconds(reply.age_ms());
+  status.primary_silent = absl::Milliseconds(reply.primary_silent_ms());
+  status.leaving = reply.leaving();
+  return status;
+}
+
+// The target refused the statement before execution; another target or a
+// later moment may accept it.
+bool MayRequeue(proto::Refusal refusal) {
+  switch (refusal) {
+    case proto::NOT_PRIMARY:
+    case proto::TERM_FENCED:
+    case proto::TOO_OLD:
+    case proto::BEHIND_POSITION:
+    case proto::NO_SLOT:
+    case proto::NO_CONNECTION:
+    case proto::LEAVING:
+      return true;
+    default:
+      return false;
+  }
+}
+
+Error TransactionLost(absl::string_view why) {
+  return {ErrorKind::kTransactionLost,
+          absl::StrCat("the transaction is gone and was rolled back: ", why),
+          "begin a new transaction"};
+}
+
+Error RefusalError(const RefuseRequest& refuse, const GroupName& group) {
+  return {
+      refuse.kind,
+      absl::StrCat("group ", group, " refused the request: ", refuse.reason),
+      refuse.kind == ErrorKind::kNoPrimary
+          ? "try again once the group has a primary"
+          : "try again later or with a longer deadline"};
+}
+
+absl::string_view OutcomeName(proto::Outcome outcome) {
+  switch (outcome) {
+    case proto::DONE:
+      return "done";
+    case proto::NOT_RUN:
+      return "not_run";
+    default:
+      return "unknown";
+  }
+}
+
+}  // namespace
+
+class GroupHome::DeferredRunner {
+ public:
+  ~DeferredRunner() {
+    for (const std::function<void()>& work : m_work) {
+      work();
+    }
+  }
+
+  Deferred* work() { return &m_work; }
+
+ private:
+  Deferred m_work;
+};
+
+Result<std::shared_ptr<GroupHome>> GroupHome::Create(const HomeContext* context,
+                                                     const GroupName& group) {
+  auto scheduler = GroupScheduler::Create(context->scheduler);
+  if (!Ok(scheduler)) {
+    return ErrorOf(scheduler);
+  }
+  return std::shared_ptr<GroupHome>(
+      new GroupHome(context, group, std::move(ValueOf(scheduler))));
+}
+
+GroupHome::GroupHome(const HomeContext* context,
+                     GroupName group,
+                     std::unique_ptr<GroupScheduler> scheduler)
+    : m_context(context),
+      m_group(std::move(group)),
+      m_home_id(NewHomeId(context->self)),
+      m_scheduler(std::move(scheduler)),
+      m_failover(FailoverOptions(), m_random),
+      m_last_used(absl::Now()) {}
+
+void GroupHome::OnSheet(const SheetSnapshot& snapshot) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const auto row = snapshot.sheet->groups.find(m_group);
+  if (snapshot.version <= m_sheet.version ||
+      row == snapshot.sheet->groups.end()) {
+    return;
+  }
+  const absl::Time now = absl::Now();
+  m_sheet = snapshot;
+  m_targets.clear();
+  GroupRules rules;
+  rules.own_data_centre = m_context->self.data_centre;
+  for (const TargetId& id : row->second.targets) {
+    const TargetRow& target = snapshot.sheet->targets.at(id);
+    m_targets[id] = target;
+    const uint32_t usable = target.connections > kReservedConnections
+                                ? target.connections - kReservedConnections
+                                : 0;
+    rules.targets.push_back({id, target.data_centre, target.slots,
+                             std::max(usable / kHomesAtOnce, 1U)});
+  }
+  for (const auto& [name, caller] : snapshot.sheet->callers) {
+    rules.shares[name] = caller.share;
+  }
+  m_failover.OnGroup(row->second.targets, now);
+  std::vector<SchedulerAction> actions;
+  m_scheduler->OnRules(rules, now, &actions);
+  Apply(actions, runner.work());
+}
+
+void GroupHome::Execute(const proto::ExecuteRequest& request,
+                        absl::Time deadline,
+                        Done done) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const absl::Time now = absl::Now();
+  m_last_used = now;
+  ActiveRequest active;
+  active.request = request;
+  active.deadline = deadline;
+  active.started = now;
+  active.done = std::move(done);
+  const Result<SessionToken> token = SessionToken::Decode(request.token());
+  if (!Ok(token)) {
+    ReplyError(&active, proto::NOT_RUN, ErrorOf(token), runner.work());
+    return;
+  }
+  active.token = ValueOf(token);
+  if (m_closed || m_sheet.sheet == nullptr) {
+    ReplyError(&active, proto::NOT_RUN,
+               Error{ErrorKind::kNotHome,
+                     absl::StrCat("this instance does not serve group ",
+                                  m_group, " any more"),
+                     "repeat the request"},
+               runner.work());
+    return;
+  }
+  const Result<RequestRules> rules = CheckRequest(*m_sheet.sheet, request);
+  if (!Ok(rules)) {
+    ReplyError(&active, proto::NOT_RUN, ErrorOf(rules), runner.work());
+    return;
+  }
+  active.rules = ValueOf(rules);
+  const Status transaction = AdmitTransaction(&active, now);
+  if (!Ok(transaction)) {
+    ReplyError(&active, proto::NOT_RUN, ErrorOf(transaction), runner.work());
+    return;
+  }
+  Admit(std::move(active), now, runner.work());
+}
+
+void GroupHome::Resolve(const proto::ResolveRequest& request,
+                        absl::Time deadline,
+                        Done done) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const absl::Time now = absl::Now();
+  m_last_used = now;
+  ActiveRequest active;
+  active.request.set_caller(request.caller());
+  active.request.set_group(request.group());
+  active.request.set_operation(proto::WRITE);
+  active.request.set_request_key(request.request_key());
+  active.resolve = true;
+  active.may_have_run = true;
+  active.deadline = deadline;
+  active.started = now;
+  active.done = std::move(done);
+  const Result<SessionToken> token = SessionToken::Decode(request.token());
+  if (!Ok(token)) {
+    ReplyError(&active, proto::UNKNOWN, ErrorOf(token), runner.work());
+    return;
+  }
+  active.token = ValueOf(token);
+  if (request.request_key().empty()) {
+    ReplyError(&active, proto::UNKNOWN,
+               Error{ErrorKind::kInvalidArgument, "request_key is empty",
+                     "set the key of the request whose outcome is unknown"},
+               runner.work());
+    return;
+  }
+  Admit(std::move(active), now, runner.work());
+}
+
+Status GroupHome::AdmitTransaction(ActiveRequest* active, absl::Time now) {
+  const proto::ExecuteRequest& request = active->request;
+  if (request.operation() == proto::BEGIN) {
+    active->transaction = ++m_last_transaction;
+    m_transactions[active->transaction] = {request.caller(), now, true};
+    return std::monostate{};
+  }
+  if (request.transaction().empty()) {
+    return std::monostate{};
+  }
+  absl::string_view number = request.transaction();
+  TransactionId transaction = 0;
+  if (!absl::ConsumePrefix(&number, absl::StrCat(m_home_id, "/")) ||
+      !absl::SimpleAtoi(number, &transaction)) {
+    return TransactionLost("its home has been replaced");
+  }
+  const auto open = m_transactions.find(transaction);
+  if (open == m_transactions.end() || open->second.caller != request.caller() ||
+      !m_scheduler->HasTransaction(transaction)) {
+    return TransactionLost("its connection was closed");
+  }
+  if (open->second.busy) {
+    return Error{ErrorKind::kInvalidArgument,
+                 "another statement of the transaction is still running",
+                 "send the statements of a transaction one after the other"};
+  }
+  open->second.busy = true;
+  active->transaction = transaction;
+  return std::monostate{};
+}
+
+void GroupHome::Admit(ActiveRequest active,
+                      absl::Time now,
+                      Deferred* deferred) {
+  const proto::Operation operation = active.request.operation();
+  ScheduledRequest scheduled;
+  scheduled.id = ++m_last_request;
+  scheduled.caller = active.request.caller();
+  scheduled.request_class = active.transaction != 0
+                                ? RequestClass::kWrite
+                                : active.rules.request_class;
+  scheduled.max_age = active.rules.max_age;
+  scheduled.min_position = active.token.PositionOf(m_group);
+  scheduled.shape = StatementShape(active.request.statement());
+  scheduled.deadline = active.deadline;
+  scheduled.transaction = active.transaction;
+  scheduled.begins_transaction = operation == proto::BEGIN;
+  scheduled.ends_transaction =
+      operation == proto::COMMIT || operation == proto::ROLLBACK;
+  active.phase = Phase::kQueued;
+  ++active.attempts;
+  m_active[scheduled.id] = std::move(active);
+  std::vector<SchedulerAction> actions;
+  m_scheduler->OnRequest(scheduled, now, &actions);
+  Apply(actions, deferred);
+}
+
+void GroupHome::Settle(ActiveRequest active,
+                       ErrorKind kind,
+                       absl::string_view what,
+                       absl::Time now,
+                       Deferred* deferred) {
+  const proto::Operation operation = active.request.operation();
+  const bool commits =
+      operation == proto::COMMIT || operation == proto::WRITE || active.resolve;
+  if (active.transaction != 0 && operation != proto::COMMIT) {
+    // Nothing of an uncommitted transaction takes effect.
+    EndTransaction(active.transaction);
+    ReplyError(&active, proto::NOT_RUN, TransactionLost(what), deferred);
+    return;
+  }
+  if (operation == proto::COMMIT) {
+    EndTransaction(active.transaction);
+    active.transaction = 0;
+  }
+  const bool keyed = !active.request.request_key().empty();
+  const bool can_settle = !commits || keyed;
+  if (!can_settle || active.attempts >= kMaxAttempts ||
+      now >= active.deadline || active.done == nullptr) {
+    ReplyError(&active, proto::UNKNOWN,
+               Error{kind, std::string(what),
+                     keyed ? "resolve the request's key"
+                           : "read the data to see whether the request ran; "
+                             "send a request_key to be able to resolve it"},
+               deferred);
+    return;
+  }
+  if (commits) {
+    active.may_have_run = true;
+    // A request that may not be repeated is never sent again; its key is
+    // settled instead, and so is a commit, whose statements are gone.
+    active.resolve = active.resolve || operation == proto::COMMIT ||
+                     !active.rules.repeatable;
+    active.rules.request_class = RequestClass::kWrite;
+  }
+  Log("settle", active.resolve ? "resolve_key" : "send_again",
+      {{"caller", active.request.caller()},
+       {"key", active.request.request_key()},
+       {"cause", std::string(what)}});
+  Admit(std::move(active), now, deferred);
+}
+
+void GroupHome::Apply(const std::vector<SchedulerAction>& actions,
+                      Deferred* deferred) {
+  const absl::Time now = absl::Now();
+  for (const SchedulerAction& action : actions) {
+    if (const auto* start = std::get_if<StartStatement>(&action)) {
+      Start(*start, now, deferred);
+    } else if (const auto* refuse = std::get_if<RefuseRequest>(&action)) {
+      Refuse(*refuse, deferred);
+    } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+      Open(*open, deferred);
+    } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
+      CloseOne(*close, deferred);
+    }
+  }
+}
+
+void GroupHome::Apply(const std::vector<CommitAction>& actions,
+                      absl::Time now,
+                      Deferred* deferred) {
+  for (const CommitAction& action : actions) {
+    if (const auto* wait = std::get_if<WaitForPosition>(&action)) {
+      Wait(*wait, deferred);
+      continue;
+    }
+    const auto* confirmed = std::get_if<RequestConfirmed>(&action);
+    const auto* unconfirmed = std::get_if<RequestUnconfirmed>(&action);
+    const auto found = m_active.find(
+        confirmed != nullptr ? confirmed->request : unconfirmed->request);
+    if (found == m_active.end()) {
+      continue;
+    }
+    ActiveRequest active = std::move(found->second);
+    m_active.erase(found);
+    if (confirmed != nullptr) {
+      active.token.Advance(m_group, active.position);
+      Reply(&active, deferred);
+    } else {
+      Settle(std::move(active), ErrorKind::kDeadlineExceeded,
+             "no majority of the group has confirmed the request", now,
+             deferred);
+    }
+  }
+}
+
+void GroupHome::Apply(const std::vector<FailoverAction>& actions,
+                      absl::Time now,
+                      Deferred* deferred) {
+  for (const FailoverAction& action : actions) {
+    if (const auto* read = std::get_if<ReadTargetStatus>(&action)) {
+      ReadStatus(read->target, deferred);
+    } else if (const auto* fence = std::get_if<FenceTarget>(&action)) {
+      Fence(*fence, deferred);
+    } else if (const auto* promote = std::get_if<PromoteTarget>(&action)) {
+      Promote(*promote, deferred);
+    } else if (const auto* primary = std::get_if<PrimaryKnown>(&action)) {
+      AdoptPrimary(*primary, now, deferred);
+    } else if (const auto* lost = std::get_if<PrimaryLost>(&action)) {
+      Log("primary_lost", lost->reason,
+          {{"home_cut_off", lost->home_cut_off ? "yes" : "no"}});
+      m_fit = !lost->home_cut_off;
+      m_primary.reset();
+      std::vector<SchedulerAction> scheduled;
+      m_scheduler->OnPrimary(std::nullopt, 0, now, &scheduled);
+      Apply(scheduled, deferred);
+    } else if (const auto* step = std::get_if<PromotionStep>(&action)) {
+      Log(step->step, step->reason, {{"term", absl::StrCat(step->term)}});
+    }
+  }
+}
+
+void GroupHome::Start(const StartStatement& start,
+                      absl::Time now,
+                      Deferred* deferred) {
+  const auto found = m_active.find(start.request);
+  const auto connection = m_connections.find(start.connection);
+  if (found == m_active.end() || connection == m_connections.end() ||
+      connection->second.stream == nullptr) {
+    return;
+  }
+  ActiveRequest& active = found->second;
+  active.phase = Phase::kRunning;
+  active.target = start.target;
+  active.connection = start.connection;
+  active.statement_started = now;
+  if (start.term != 0) {
+    m_primary_connections.insert(start.connection);
+  }
+  proto::StatementRequest statement;
+  statement.set_operation(active.request.operation());
+  statement.set_resolve(active.resolve);
+  statement.set_statement(active.request.statement());
+  statement.set_term(start.term);
+  ToProto(active.token.PositionOf(m_group), statement.mutable_min_position());
+  if (active.request.operation() == proto::READ &&
+      active.rules.request_class == RequestClass::kAgedRead) {
+    statement.set_has_max_age(true);
+    statement.set_max_age_ms(
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(active.rules.max_age)));
+  }
+  if (active.request.operation() == proto::WRITE ||
+      active.request.operation() == proto::COMMIT) {
+    statement.set_key(
+        IdempotencyKey(active.request.caller(), active.request.request_key()));
+  }
+  Log("route", start.reason,
+      {{"request", absl::StrCat(start.request)},
+       {"caller", active.request.caller()},
+       {"operation", proto::Operation_Name(active.request.operation())},
+       {"target", start.target},
+       {"term", absl::StrCat(start.term)},
+       {"waited_us",
+        absl::StrCat(absl::ToInt64Microseconds(now - active.started))}});
+  m_context->metrics->Observe("queue_wait", now - active.started);
+  m_context->metrics->Count(start.term != 0 ? "statements/primary"
+                                            : "statements/replica");
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  deferred->push_back([weak, id = start.request,
+                       stream = connection->second.stream,
+                       statement = std::move(statement)] {
+    stream->Execute(statement, [weak, id](Result<proto::StatementReply> reply) {
+      if (const auto self = weak.lock()) {
+        self->OnStatementReply(id, std::move(reply));
+      }
+    });
+  });
+}
+
+void GroupHome::Refuse(const RefuseRequest& refuse, Deferred* deferred) {
+  const auto found = m_active.find(refuse.request);
+  if (found == m_active.end()) {
+    return;
+  }
+  ActiveRequest active = std::move(found->second);
+  m_active.erase(found);
+  Log("refuse", refuse.reason,
+      {{"request", absl::StrCat(refuse.request)},
+       {"caller", active.request.caller()},
+       {"operation", proto::Operation_Name(active.request.operation())}});
+  if (active.request.operation() == proto::BEGIN ||
+      (active.transaction != 0 &&
+       !m_scheduler->HasTransaction(active.transaction))) {
+    EndTransaction(active.transaction);
+  } else if (active.transaction != 0) {
+    m_transactions[active.transaction].busy = false;
+  }
+  ReplyError(&active, active.may_have_run ? proto::UNKNOWN : proto::NOT_RUN,
+             RefusalError(refuse, m_group), deferred);
+}
+
+void GroupHome::Open(const OpenConnection& open, Deferred* deferred) {
+  m_connections[open.connection] = {open.target, nullptr, false};
+  Log("open_connection", open.reason, {{"target", open.target}});
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  deferred->push_back([weak, open, driver = m_context->driver,
+                       address = AddressOf(open.target)] {
+    driver->Connect(
+        address, kConnectTimeout,
+        [weak, open](Result<std::shared_ptr<TargetConnection>> result) {
+          if (const auto self = weak.lock()) {
+            self->OnOpened(open.target, open.connection, std::move(result));
+          } else if (Ok(result)) {
+            ValueOf(result)->Close();
+          }
+        },
+        [weak, open] {
+          if (const auto self = weak.lock()) {
+            self->OnClosed(open.target, open.connection);
+          }
+        });
+  });
+}
+
+void GroupHome::CloseOne(const CloseConnection& close, Deferred* deferred) {
+  const auto found = m_connections.find(close.connection);
+  if (found == m_connections.end()) {
+    return;
+  }
+  Log("close_connection", close.reason, {{"target", close.target}});
+  found->second.close_requested = true;
+  if (found->second.stream != nullptr) {
+    deferred->push_back([stream = found->second.stream] { stream->Close(); });
+  }
+}
+
+void GroupHome::ReadStatus(const TargetId& target, Deferred* deferred) {
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  deferred->push_back(
+      [weak, target, driver = m_context->driver, address = AddressOf(target)] {
+        driver->ReadStatus(address, kStatusTimeout,
+                           [weak, target](Result<proto::StatusReply> reply) {
+                             if (const auto self = weak.lock()) {
+                               self->OnStatusReply(target, std::move(reply));
+                             }
+                           });
+      });
+}
+
+void GroupHome::Fence(const FenceTarget& fence, Deferred* deferred) {
+  proto::FenceRequest request;
+  request.set_term(fence.term);
+  request.set_decider(m_home_id);
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  const auto replied = [weak, fence](Result<proto::FenceReply> result) {
+    const auto self = weak.lock();
+    if (self == nullptr || !Ok(result)) {
+      return;
+    }
+    const proto::FenceReply& reply = ValueOf(result);
+    DeferredRunner runner;
+    absl::MutexLock lock(&self->m_mutex);
+    const absl::Time now = absl::Now();
+    std::vector<FailoverAction> actions;
+    self->m_failover.OnFenceReply(fence.target, fence.term, reply.granted(),
+                                  reply.term(), FromProto(reply.last()), now,
+                                  &actions);
+    self->Apply(actions, now, runner.work());
+  };
+  deferred->push_back([request, replied, driver = m_context->driver,
+                       address = AddressOf(fence.target)] {
+    driver->Fence(address, request, kFenceTimeout, replied);
+  });
+}
+
+void GroupHome::Promote(const PromoteTarget& promote, Deferred* deferred) {
+  proto::PromoteRequest request;
+  request.set_term(promote.term);
+  request.set_decider(m_home_id);
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  const auto replied = [weak, promote](Result<proto::PromoteReply> result) {
+    const auto self = weak.lock();
+    if (self == nullptr || !Ok(result)) {
+      return;
+    }
+    const proto::PromoteReply& reply = ValueOf(result);
+    DeferredRunner runner;
+    absl::MutexLock lock(&self->m_mutex);
+    const absl::Time now = absl::Now();
+    if (reply.promoted()) {
+      self->m_promoted_position = FromProto(reply.last());
+    }
+    std::vector<FailoverAction> actions;
+    self->m_failover.OnPromoteReply(promote.target, promote.term,
+                                    reply.promoted(), reply.term(), now,
+                                    &actions);
+    self->Apply(actions, now, runner.work());
+  };
+  deferred->push_back([request, replied, driver = m_context->driver,
+                       address = AddressOf(promote.target)] {
+    driver->Promote(address, request, kFenceTimeout, replied);
+  });
+}
+
+void GroupHome::Wait(const WaitForPosition& wait, Deferred* deferred) {
+  proto::WaitPositionRequest request;
+  ToProto(wait.position, request.mutable_position());
+  request.set_timeout_ms(
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(wait.timeout)));
+  const std::weak_ptr<GroupHome> weak = weak_from_this();
+  const auto replied = [weak, wait](Result<proto::WaitPositionReply> result) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    DeferredRunner runner;
+    absl::MutexLock lock(&self->m_mutex);
+    const absl::Time now = absl::Now();
+    std::vector<CommitAction> actions;
+    if (Ok(result)) {
+      const proto::WaitPositionReply& reply = ValueOf(result);
+      self->m_tracker.OnPositionReport(wait.target, wait.wait, reply.term(),
+                                       FromProto(reply.last()), now, &actions);
+    } else {
+      self->m_tracker.OnPositionFailure(wait.target, wait.wait, now, &actions);
+    }
+    self->Apply(actions, now, runner.work());
+  };
+  deferred->push_back([request, replied, driver = m_context->driver,
+                       address = AddressOf(wait.target)] {
+    driver->WaitPosition(address, request, replied);
+  });
+}
+
+void GroupHome::AdoptPrimary(const PrimaryKnown& primary,
+                             absl::Time now,
+                             Deferred* deferred) {
+  Log("primary", primary.reason,
+      {{"target", primary.target}, {"term", absl::StrCat(primary.term)}});
+  m_context->metrics->Count("primary_changes");
+  m_fit = true;
+  m_primary = primary.target;
+  m_term = primary.term;
+  const proto::StatusReply& status = m_statuses[primary.target];
+  m_term_position = status.primary() && status.term() == m_term
+                        ? FromProto(status.last())
+                        : m_promoted_position;
+  // Statements that still run on a replaced primary cannot be confirmed;
+  // breaking their connections lets them be settled at once.
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.target != primary.target && connection.stream != nullptr &&
+        m_primary_connections.contains(id)) {
+      deferred->push_back([stream = connection.stream] { stream->Close(); });
+    }
+  }
+  m_primary_connections.clear();
+  std::vector<SchedulerAction> scheduled;
+  m_scheduler->OnPrimary(primary.target, primary.term, now, &scheduled);
+  Apply(scheduled, deferred);
+  std::vector<TargetId> group;
+  for (const auto& [id, row] : m_targets) {
+    group.push_back(id);
+  }
+  std::vector<CommitAction> commits;
+  m_tracker.OnPrimary(primary.target, primary.term, group, now, &commits);
+  Apply(commits, now, deferred);
+}
+
+void GroupHome::OnOpened(const TargetId& target,
+                         ConnectionId connection,
+                         Result<std::shared_ptr<TargetConnection>> result) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const absl::Time now = absl::Now();
+  std::vector<SchedulerAction> actions;
+  const auto found = m_connections.find(connection);
+  if (found == m_connections.end()) {
+    return;
+  }
+  if (Ok(result) && !found->second.close_requested && !m_closed) {
+    found->second.stream = ValueOf(result);
+    m_scheduler->OnConnectionOpened(target, connection, now, &actions);
+  } else {
+    if (Ok(result)) {
+      runner.work()->push_back([stream = ValueOf(result)] { stream->Close(); });
+    } else {
+      Log("connection_failed", ErrorKindName(ErrorOf(result).kind),
+          {{"target", target}, {"cause", ErrorOf(result).message}});
+    }
+    m_connections.erase(found);
+    m_scheduler->OnConnectionClosed(target, connection, now, &actions);
+  }
+  Apply(actions, runner.work());
+}
+
+void GroupHome::OnClosed(const TargetId& target, ConnectionId connection) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  if (m_connections.erase(connection) == 0) {
+    return;
+  }
+  m_primary_connections.erase(connection);
+  std::vector<SchedulerAction> actions;
+  m_scheduler->OnConnectionClosed(target, connection, absl::Now(), &actions);
+  Apply(actions, runner.work());
+}
+
+void GroupHome::OnStatementReply(RequestId id,
+                                 Result<proto::StatementReply> result) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const absl::Time now = absl::Now();
+  const auto found = m_active.find(id);
+  if (found == m_active.end()) {
+    return;
+  }
+  ActiveRequest& active = found->second;
+  FinishedStatement finished;
+  finished.request = id;
+  finished.target = active.target;
+  finished.connection = active.connection;
+  finished.ran_for = now - active.statement_started;
+  if (!Ok(result)) {
+    m_connections.erase(active.connection);
+    m_primary_connections.erase(active.connection);
+    finished.end = StatementEnd::kLost;
+    finished.connection_usable = false;
+    ActiveRequest lost = std::move(active);
+    m_active.erase(found);
+    std::vector<SchedulerAction> actions;
+    m_scheduler->OnFinished(finished, now, &actions);
+    Apply(actions, runner.work());
+    Settle(std::move(lost), ErrorKind::kUnavailable, ErrorOf(result).message,
+           now, runner.work());
+    return;
+  }
+  const proto::StatementReply& reply = ValueOf(result);
+  finished.ran_for = absl::Microseconds(reply.ran_us());
+  finished.transaction_open = reply.in_transaction();
+  const bool in_transaction =
+      active.transaction != 0 && active.request.operation() != proto::BEGIN;
+  if (reply.refusal() == proto::NOT_PRIMARY ||
+      reply.refusal() == proto::TERM_FENCED) {
+    std::vector<FailoverAction> doubts;
+    m_failover.OnPrimaryDoubted(now, &doubts);
+    Apply(doubts, now, runner.work());
+  }
+  if (MayRequeue(reply.refusal()) && !in_transaction &&
+      active.done != nullptr) {
+    finished.end = StatementEnd::kRefused;
+    finished.connection_usable = reply.refusal() != proto::NO_CONNECTION;
+    active.phase = Phase::kQueued;
+    Log("requeue", "target_refused",
+        {{"request", absl::StrCat(id)},
+         {"target", active.target},
+         {"refusal", proto::Refusal_Name(reply.refusal())}});
+    std::vector<SchedulerAction> actions;
+    m_scheduler->OnFinished(finished, now, &actions);
+    Apply(actions, runner.work());
+    return;
+  }
+  ActiveRequest ran = std::move(active);
+  m_active.erase(found);
+  std::vector<SchedulerAction> actions;
+  m_scheduler->OnFinished(finished, now, &actions);
+  Apply(actions, runner.work());
+  Finish(std::move(ran), reply, id, now, runner.work());
+}
+
+void GroupHome::Finish(ActiveRequest active,
+                       const proto::StatementReply& reply,
+                       RequestId id,
+                       absl::Time now,
+                       Deferred* deferred) {
+  if (active.transaction != 0) {
+    FinishTransactionStep(active, reply, now);
+  }
+  const proto::Operation operation = active.request.operation();
+  active.reply.set_served_by(active.target);
+  active.reply.set_result(reply.result());
+  switch (reply.refusal()) {
+    case proto::REFUSAL_NONE:
+    case proto::KEY_REFUSED:
+      break;
+    case proto::FAILED:
+      ReplyError(&active, proto::DONE,
+                 Error{ErrorKind::kStatementFailed, reply.message(),
+                       "correct the statement"},
+                 deferred);
+      return;
+    case proto::BAD_STATEMENT:
+      ReplyError(&active, proto::NOT_RUN,
+                 Error{ErrorKind::kInvalidArgument, reply.message(),
+                       "correct the statement"},
+                 deferred);
+      return;
+    default:
+      ReplyError(&active, proto::NOT_RUN,
+                 TransactionLost(proto::Refusal_Name(reply.refusal())),
+                 deferred);
+      return;
+  }
+  if (reply.refusal() == proto::KEY_REFUSED) {
+    active.reply.set_outcome(proto::NOT_RUN);
+    active.reply.set_error_kind(
+        std::string(ErrorKindName(ErrorKind::kKeyRefused)));
+    active.reply.set_error_message(
+        "the request's key was settled as not run; use a new key to send the "
+        "request again");
+  } else {
+    active.reply.set_outcome(proto::DONE);
+  }
+  if (operation == proto::BEGIN) {
+    active.reply.set_transaction(
+        absl::StrCat(m_home_id, "/", active.transaction));
+  }
+  const bool on_replica = m_primary != active.target;
+  const bool read = operation == proto::READ;
+  const bool inside_transaction =
+      active.transaction != 0 && operation != proto::COMMIT;
+  if (inside_transaction || (read && on_replica)) {
+    active.reply.set_age_ms(reply.age_ms());
+    // With three targets, what a replica holds is held by a majority: the
+    // primary that sent it and the replica itself.
+    if (read && !inside_transaction && m_targets.size() <= 3) {
+      active.token.Advance(m_group, FromProto(reply.position()));
+    }
+    Reply(&active, deferred);
+    return;
+  }
+  const bool proves_itself = operation == proto::WRITE;
+  active.phase = Phase::kConfirming;
+  active.position = PositionToConfirm(reply);
+  const Position position = active.position;
+  const absl::Time deadline = active.deadline;
+  m_active[id] = std::move(active);
+  std::vector<CommitAction> actions;
+  m_tracker.OnExecuted(
+      id, proves_itself ? ConfirmationKind::kWrite : ConfirmationKind::kRead,
+      position, deadline, now, &actions);
+  Apply(actions, now, deferred);
+}
+
+void GroupHome::FinishTransactionStep(const ActiveRequest& active,
+                                      const proto::StatementReply& reply,
+                                      absl::Time now) {
+  const auto open = m_transactions.find(active.transaction);
+  if (open == m_transactions.end()) {
+    return;
+  }
+  open->second.busy = false;
+  open->second.last_used = now;
+  if (!reply.in_transaction()) {
+    m_transactions.erase(open);
+  } else if (active.done == nullptr) {
+    // The caller has been told that the step failed; the transaction must
+    // not stay open behind its back.
+    open->second.last_used = absl::InfinitePast();
+  }
+}
+
+Position GroupHome::PositionToConfirm(
+    const proto::StatementReply& reply) const {
+  const Position own = FromProto(reply.position());
+  // An entry of an older term is held for good once an entry of the current
+  // term behind it is. The primary begins its term with an empty entry.
+  return own.term == m_term ? own : std::max(own, m_term_position);
+}
+
+void GroupHome::EndTransaction(TransactionId transaction) {
+  m_transactions.erase(transaction);
+}
+
+void GroupHome::OnStatusReply(const TargetId& target,
+                              Result<proto::StatusReply> result) {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  const absl::Time now = absl::Now();
+  TargetHealth health;
+  std::vector<FailoverAction> actions;
+  if (Ok(result)) {
+    const proto::StatusReply& status = ValueOf(result);
+    m_statuses[target] = status;
+    health.reachable = true;
+    health.leaving = status.leaving();
+    health.age = absl::Milliseconds(status.age_ms());
+    health.last = FromProto(status.last());
+    health.queued = status.queued();
+    if (status.primary() && status.term() == m_term) {
+      m_term_position = std::max(m_term_position, health.last);
+    }
+    m_failover.OnStatus(target, FromProto(status), now, &actions);
+  } else {
+    m_failover.OnStatusFailed(target, now, &actions);
+  }
+  m_reachable[target] = health.reachable;
+  std::vector<SchedulerAction> scheduled;
+  m_scheduler->OnTargetHealth(target, health, now, &scheduled);
+  Apply(scheduled, runner.work());
+  Apply(actions, now, runner.work());
+}
+
+void GroupHome::Tick() {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  if (m_closed || m_sheet.sheet == nullptr) {
+    return;
+  }
+  const absl::Time now = absl::Now();
+  std::vector<FailoverAction> failover;
+  m_failover.OnTick(now, &failover);
+  Apply(failover, now, runner.work());
+  std::vector<CommitAction> commits;
+  m_tracker.OnTick(now, &commits);
+  Apply(commits, now, runner.work());
+  m_scheduler->OnCommitDelay(m_tracker.ExpectedDelay(now));
+  std::vector<SchedulerAction> scheduled;
+  m_scheduler->OnTick(now, &scheduled);
+  Apply(scheduled, runner.work());
+  ExpireRequests(now, runner.work());
+  ExpireTransactions(now, runner.work());
+}
+
+void GroupHome::ExpireRequests(absl::Time now, Deferred* deferred) {
+  for (auto& [id, active] : m_active) {
+    if (active.phase != Phase::kRunning || now < active.deadline) {
+      continue;
+    }
+    if (active.done != nullptr) {
+      ReplyError(&active, proto::UNKNOWN,
+                 Error{ErrorKind::kDeadlineExceeded,
+                       absl::StrCat("target ", active.target,
+                                    " has not answered by the deadline"),
+                       "resolve the request's key or repeat the read"},
+                 deferred);
+    }
+    const auto connection = m_connections.find(active.connection);
+    if (now >= active.deadline + kStuckAfterDeadline &&
+        !m_reachable[active.target] && connection != m_connections.end() &&
+        connection->second.stream != nullptr) {
+      deferred->push_back(
+          [stream = connection->second.stream] { stream->Close(); });
+    }
+  }
+}
+
+void GroupHome::ExpireTransactions(absl::Time now, Deferred* deferred) {
+  std::vector<TransactionId> idle;
+  for (const auto& [id, open] : m_transactions) {
+    if (!open.busy && now - open.last_used >= kTransactionIdleLimit) {
+      idle.push_back(id);
+    }
+  }
+  for (const TransactionId id : idle) {
+    m_transactions.erase(id);
+    Log("abandon_transaction", "idle", {{"transaction", absl::StrCat(id)}});
+    std::vector<SchedulerAction> actions;
+    m_scheduler->AbandonTransaction(id, now, &actions);
+    Apply(actions, deferred);
+  }
+}
+
+void GroupHome::Reply(ActiveRequest* active, Deferred* deferred) {
+  if (active->done == nullptr) {
+    return;
+  }
+  active->token.sheet_version =
+      std::max(active->token.sheet_version, m_sheet.version);
+  active->reply.set_token(active->token.Encode());
+  m_context->metrics->Count(
+      absl::StrCat("requests/", OutcomeName(active->reply.outcome())));
+  m_context->metrics->Observe("request_latency", absl::Now() - active->started);
+  deferred->push_back(
+      [done = std::exchange(active->done, nullptr),
+       reply = std::move(active->reply)]() mutable { done(std::move(reply)); });
+}
+
+void GroupHome::ReplyError(ActiveRequest* active,
+                           proto::Outcome outcome,
+                           const Error& error,
+                           Deferred* deferred) {
+  active->reply.set_outcome(outcome);
+  active->reply.set_error_kind(std::string(ErrorKindName(error.kind)));
+  active->reply.set_error_message(error.Describe());
+  Reply(active, deferred);
+}
+
+bool GroupHome::Fit() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_fit && !m_closed;
+}
+
+size_t GroupHome::Active() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_active.size() + m_transactions.size();
+}
+
+absl::Time GroupHome::LastUsed() const {
+  absl::MutexLock lock(&m_mutex);
+  return m_last_used;
+}
+
+void GroupHome::Describe(proto::GroupState* state) const {
+  absl::MutexLock lock(&m_mutex);
+  state->set_group(m_group);
+  state->set_home(m_context->self.id);
+  state->set_term(m_term);
+  state->set_primary(m_primary.value_or(""));
+  for (const auto& [target, status] : m_statuses) {
+    *state->add_targets() = status;
+  }
+  const SchedulerStatistics statistics = m_scheduler->Statistics();
+  state->set_queued(statistics.queued);
+  state->set_running(statistics.running);
+  state->set_open_transactions(statistics.open_transactions);
+}
+
+void GroupHome::Close() {
+  DeferredRunner runner;
+  absl::MutexLock lock(&m_mutex);
+  m_closed = true;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.stream != nullptr) {
+      runner.work()->push_back(
+          [stream = connection.stream] { stream->Close(); });
+    }
+  }
+}
+
+void GroupHome::Log(
+    absl::string_view decision,
+    absl::string_view reason,
+    std::vector<std::pair<absl::string_view, std::string>> fields) const {
+  fields.emplace_back("group", m_group);
+  m_context->decision_log->Write({decision, reason, std::move(fields)},
+                                 absl::Now());
+}
+
+std::string GroupHome::AddressOf(const TargetId& target) const {
+  const auto found = m_targets.find(target);
+  return found == m_targets.end() ? "" : found->second.address;
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/runtime/home_directory.cc
@@ -0,0 +1,151 @@
+// Creation, lookup and removal of homes.
+
+#include "Source/runtime/home_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Source/decision/placement.h"
+#include "absl/time/clock.h"
+#include "glog/logging.h"
+
+namespace heatherwick {
+
+namespace {
+
+// The first candidate and two successors; beyond these, waiting for the
+// membership to settle is faster than trying further instances.
+constexpr size_t kCandidates = 3;
+// A home that another instance is first for keeps its connections for this
+// long, since requests may still arrive on older membership views.
+constexpr absl::Duration kIdleLimit = absl::Seconds(10);
+
+// Members of `region`, or all when it has none.
+std::vector<const MemberInfo*> MembersOfRegion(
+    const std::vector<MemberInfo>& members,
+    const std::string& region) {
+  std::vector<const MemberInfo*> chosen;
+  for (const MemberInfo& member : members) {
+    if (member.region == region && !member.suspect) {
+      chosen.push_back(&member);
+    }
+  }
+  if (chosen.empty()) {
+    for (const MemberInfo& member : members) {
+      chosen.push_back(&member);
+    }
+  }
+  return chosen;
+}
+
+}  // namespace
+
+HomeDirectory::HomeDirectory(const HomeContext* context,
+                             const SheetSource* sheets,
+                             const MemberSource* members)
+    : m_context(context), m_sheets(sheets), m_members(members) {}
+
+std::shared_ptr<GroupHome> HomeDirectory::FindOrCreate(const GroupName& group) {
+  const SheetSnapshot snapshot = m_sheets->Current();
+  if (snapshot.sheet == nullptr || !snapshot.sheet->groups.contains(group)) {
+    return nullptr;
+  }
+  bool created = false;
+  auto home = m_homes.FindOrCreate(group, [&] {
+    auto result = GroupHome::Create(m_context, group);
+    created = Ok(result);
+    if (!created) {
+      LOG(ERROR) << ErrorOf(result).Describe();
+      return std::shared_ptr<GroupHome>();
+    }
+    return ValueOf(result);
+  });
+  if (created) {
+    m_context->decision_log->Write(
+        {"open_home", "requested", {{"group", group}}}, absl::Now());
+    home->OnSheet(snapshot);
+  }
+  return home;
+}
+
+std::shared_ptr<GroupHome> HomeDirectory::Find(const GroupName& group) const {
+  return m_homes.Find(group);
+}
+
+std::vector<MemberInfo> HomeDirectory::Candidates(
+    const GroupName& group) const {
+  const SheetSnapshot snapshot = m_sheets->Current();
+  if (snapshot.sheet == nullptr) {
+    return {};
+  }
+  const auto row = snapshot.sheet->groups.find(group);
+  if (row == snapshot.sheet->groups.end()) {
+    return {};
+  }
+  const auto members = m_members->Members();
+  const std::vector<const MemberInfo*> region =
+      MembersOfRegion(*members, row->second.region);
+  std::vector<PlacementCandidate> candidates;
+  candidates.reserve(region.size());
+  for (const MemberInfo* member : region) {
+    candidates.push_back({member->id, member->data_centre});
+  }
+  std::vector<MemberInfo> ranked;
+  for (const size_t index : RankCandidates(group, candidates, kCandidates)) {
+    ranked.push_back(*region[index]);
+  }
+  return ranked;
+}
+
+bool HomeDirectory::IsFirst(const GroupName& group) const {
+  const std::vector<MemberInfo> candidates = Candidates(group);
+  return !candidates.empty() && candidates.front().id == m_context->self.id;
+}
+
+void HomeDirectory::Reconcile() {
+  const SheetSnapshot snapshot = m_sheets->Current();
+  if (snapshot.sheet == nullptr) {
+    return;
+  }
+  if (!m_draining) {
+    for (const auto& [group, row] : snapshot.sheet->groups) {
+      if (m_homes.Find(group) == nullptr && IsFirst(group)) {
+        FindOrCreate(group);
+      }
+    }
+  }
+  const absl::Time now = absl::Now();
+  for (const auto& [group, home] : m_homes.All()) {
+    home->OnSheet(snapshot);
+    const bool wanted = snapshot.sheet->groups.contains(group) &&
+                        (IsFirst(group) || now - home->LastUsed() < kIdleLimit);
+    if (!wanted && home->Active() == 0) {
+      m_context->decision_log->Write(
+          {"close_home", "another_instance_is_first", {{"group", group}}}, now);
+      home->Close();
+      m_homes.Remove(group);
+    }
+  }
+}
+
+void HomeDirectory::Tick() {
+  for (const auto& [group, home] : m_homes.All()) {
+    home->Tick();
+  }
+}
+
+size_t HomeDirectory::Active() const {
+  size_t active = 0;
+  for (const auto& [group, home] : m_homes.All()) {
+    active += home->Active();
+  }
+  return active;
+}
+
+void HomeDirectory::CloseAll() {
+  for (const auto& [group, home] : m_homes.All()) {
+    home->Close();
+  }
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/runtime/proxy_service.cc
@@ -0,0 +1,56 @@
+// Passes callers' requests to the routing.
+
+#include "Source/runtime/proxy_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Source/runtime/request_rules.h"
+#include "absl/time/clock.h"
+
+namespace heatherwick {
+
+namespace {
+
+// The earlier of the request's own deadline and that of its call.
+absl::Time DeadlineOfCall(const grpc::CallbackServerContext& context,
+                          absl::Duration own) {
+  const absl::Time call = absl::FromChrono(context.deadline());
+  return std::min(absl::Now() + own, call);
+}
+
+RoutedRequest::Done ReplyWith(grpc::ServerUnaryReactor* reactor,
+                              proto::ExecuteReply* out) {
+  return [reactor, out](proto::ExecuteReply reply) {
+    *out = std::move(reply);
+    reactor->Finish(grpc::Status::OK);
+  };
+}
+
+}  // namespace
+
+grpc::ServerUnaryReactor* ProxyService::Execute(
+    grpc::CallbackServerContext* context,
+    const proto::ExecuteRequest* request,
+    proto::ExecuteReply* reply) {
+  grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+  RoutedRequest::Execute(m_context, *request,
+                         DeadlineOfCall(*context, DeadlineOf(*request)),
+                         ReplyWith(reactor, reply));
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* ProxyService::Resolve(
+    grpc::CallbackServerContext* context,
+    const proto::ResolveRequest* request,
+    proto::ExecuteReply* reply) {
+  grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+  const absl::Duration own = request->deadline_ms() == 0
+                                 ? kDefaultDeadline
+                                 : absl::Milliseconds(request->deadline_ms());
+  RoutedRequest::Resolve(m_context, *request, DeadlineOfCall(*context, own),
+                         ReplyWith(reactor, reply));
+  return reactor;
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/runtime/unary_call.h
@@ -0,0 +1,62 @@
+// Asynchronous unary gRPC calls with a deadline and a callback.
+
+#ifndef SOURCE_RUNTIME_UNARY_CALL_H_
+#define SOURCE_RUNTIME_UNARY_CALL_H_
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "Source/base/error.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+#include "grpcpp/channel.h"
+#include "grpcpp/client_context.h"
+#include "grpcpp/support/status.h"
+
+namespace heatherwick {
+
+// What one asynchronous call needs until its callback has run.
+template <typename Service, typename Request, typename Reply>
+struct UnaryCall {
+  std::unique_ptr<typename Service::Stub> stub;
+  grpc::ClientContext context;
+  Request request;
+  Reply reply;
+};
+
+// `method` is a member of Service::Stub::async_interface. `done` runs on a
+// thread of gRPC; an error is kUnavailable, or kDeadlineExceeded when the
+// deadline passed.
+template <typename Service, typename Request, typename Reply, typename Method>
+void StartUnaryCall(std::shared_ptr<grpc::Channel> channel,
+                    Method method,
+                    Request request,
+                    absl::Time deadline,
+                    std::function<void(Result<Reply>)> done) {
+  using Call = UnaryCall<Service, Request, Reply>;
+  auto call = std::make_shared<Call>();
+  call->stub = Service::NewStub(std::move(channel));
+  call->context.set_deadline(absl::ToChronoTime(deadline));
+  call->request = std::move(request);
+  Call* const raw = call.get();
+  std::function<void(grpc::Status)> finished = [call = std::move(call),
+                                                done = std::move(done)](
+                                                   grpc::Status status) {
+    if (status.ok()) {
+      done(std::move(call->reply));
+      return;
+    }
+    const bool late =
+        status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+    done(Error{late ? ErrorKind::kDeadlineExceeded : ErrorKind::kUnavailable,
+               absl::StrCat("call failed: ", status.error_message()),
+               "try another instance or try again later"});
+  };
+  (raw->stub->async()->*method)(&raw->context, &raw->request, &raw->reply,
+                                std::move(finished));
+}
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_RUNTIME_UNARY_CALL_H_
