--- /dev/null
+++ b/Source/decision/fair_priority_queue.cc
@@ -0,0 +1,228 @@
+#include "Source/decision/fair_priority_queue.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "Source/kernel/registry.h"
+
+namespace heatherwick {
+namespace {
+
+const Registration<QueuePolicy, FairPriorityQueue> g_registration(
+    "fair_priority");
+
+// Requests of one bucket that may be passed over because only they cannot
+// start, such as reads that need a fresher target.
+constexpr size_t kMaxPassedOver = 8;
+// A caller this far ahead of another active one, in virtual time, is served
+// after it whatever the class. Below it classes come first.
+constexpr absl::Duration kLead = absl::Milliseconds(100);
+// Share of its time to the deadline after which a long statement is ranked
+// as a short one, so that it still runs.
+constexpr double kAgeingShare = 0.25;
+
+bool HasAged(const PendingRequest& pending, absl::Time now) {
+  return now - pending.arrived >
+         (pending.request.deadline - pending.arrived) * kAgeingShare;
+}
+
+size_t IndexOf(Lane lane) {
+  return static_cast<size_t>(lane);
+}
+
+size_t IndexOf(RequestClass request_class) {
+  return static_cast<size_t>(request_class);
+}
+
+Lane LaneOf(RequestClass request_class) {
+  return request_class == RequestClass::kAgedRead ? Lane::kReplica
+                                                  : Lane::kPrimary;
+}
+
+}  // namespace
+
+bool FairPriorityQueue::Rank::operator<(const Rank& other) const {
+  return std::tie(lane, ahead_of_share, request_class, is_long, virtual_time,
+                  sequence) < std::tie(other.lane, other.ahead_of_share,
+                                       other.request_class, other.is_long,
+                                       other.virtual_time, other.sequence);
+}
+
+void FairPriorityQueue::OnShares(const Shares& shares) {
+  m_shares = shares;
+  for (const auto& [name, share] : shares) {
+    CallerOf(name);
+  }
+  m_share_sum = 0;
+  for (auto& [name, caller] : m_callers) {
+    const auto found = m_shares.find(name);
+    caller->share = found == m_shares.end() ? 1 : std::max(1U, found->second);
+    m_share_sum += caller->share;
+  }
+}
+
+FairPriorityQueue::CallerState& FairPriorityQueue::CallerOf(
+    const CallerName& name) {
+  std::unique_ptr<CallerState>& caller = m_callers[name];
+  if (caller == nullptr) {
+    caller = std::make_unique<CallerState>();
+    m_share_sum += caller->share;
+  }
+  return *caller;
+}
+
+const FairPriorityQueue::CallerState* FairPriorityQueue::FindCaller(
+    const CallerName& name) const {
+  const auto found = m_callers.find(name);
+  return found == m_callers.end() ? nullptr : found->second.get();
+}
+
+FairPriorityQueue::Bucket& FairPriorityQueue::BucketOf(
+    const PendingRequest& pending) {
+  const ScheduledRequest& request = pending.request;
+  std::unique_ptr<Bucket>& bucket = m_buckets[BucketKey{
+      request.caller, request.request_class, pending.is_long,
+      request.begins_transaction, request.max_age}];
+  if (bucket == nullptr) {
+    bucket = std::make_unique<Bucket>();
+    bucket->caller = &CallerOf(request.caller);
+    bucket->request_class = request.request_class;
+    bucket->is_long = pending.is_long;
+    bucket->begins_transaction = request.begins_transaction;
+    m_bucket_list.push_back(bucket.get());
+  }
+  return *bucket;
+}
+
+void FairPriorityQueue::Push(PendingRequest* pending) {
+  const Lane lane = pending->GetLane();
+  const size_t class_index = IndexOf(pending->request.request_class);
+  Bucket& bucket = BucketOf(*pending);
+  bucket.requests[pending->sequence] = pending;
+  CallerState& caller = *bucket.caller;
+  LaneService& service = caller.lanes[IndexOf(lane)];
+  if (service.queued++ == 0) {
+    service.virtual_time =
+        std::max(service.virtual_time, m_virtual_time[IndexOf(lane)]);
+  }
+  ++caller.queued;
+  ++m_queued[IndexOf(lane)];
+  caller.work[class_index] += pending->estimate.mean;
+  m_work[class_index] += pending->estimate.mean;
+}
+
+void FairPriorityQueue::Remove(PendingRequest* pending) {
+  const Lane lane = pending->GetLane();
+  const size_t class_index = IndexOf(pending->request.request_class);
+  Bucket& bucket = BucketOf(*pending);
+  bucket.requests.erase(pending->sequence);
+  CallerState& caller = *bucket.caller;
+  --caller.lanes[IndexOf(lane)].queued;
+  --caller.queued;
+  --m_queued[IndexOf(lane)];
+  caller.work[class_index] -= pending->estimate.mean;
+  m_work[class_index] -= pending->estimate.mean;
+}
+
+absl::Duration FairPriorityQueue::LeastVirtualTime(Lane lane) const {
+  absl::Duration least = absl::InfiniteDuration();
+  for (const Bucket* bucket : m_bucket_list) {
+    if (!bucket->requests.empty() && LaneOf(bucket->request_class) == lane) {
+      least =
+          std::min(least, bucket->caller->lanes[IndexOf(lane)].virtual_time);
+    }
+  }
+  return least;
+}
+
+void FairPriorityQueue::RankBuckets(absl::Time now) {
+  m_ranks.clear();
+  const std::array<absl::Duration, kLaneCount> least = {
+      LeastVirtualTime(Lane::kPrimary), LeastVirtualTime(Lane::kReplica)};
+  for (Bucket* bucket : m_bucket_list) {
+    if (bucket->requests.empty()) {
+      continue;
+    }
+    const Lane lane = LaneOf(bucket->request_class);
+    const auto& [sequence, first] = *bucket->requests.begin();
+    const absl::Duration virtual_time =
+        bucket->caller->lanes[IndexOf(lane)].virtual_time;
+    m_ranks.push_back({lane, virtual_time > least[IndexOf(lane)] + kLead,
+                       bucket->request_class,
+                       bucket->is_long && !HasAged(*first, now), virtual_time,
+                       sequence, bucket});
+  }
+  std::sort(m_ranks.begin(), m_ranks.end());
+}
+
+PendingRequest* FairPriorityQueue::Next(absl::Time now, CanStart can_start) {
+  RankBuckets(now);
+  std::array<bool, kLaneCount> lane_closed{};
+  std::array<std::array<bool, 4>, kClasses> kind_closed{};
+  for (const Rank& rank : m_ranks) {
+    bool& closed =
+        kind_closed[IndexOf(rank.request_class)][KindOf(*rank.bucket)];
+    size_t passed_over = 0;
+    for (const auto& [sequence, pending] : rank.bucket->requests) {
+      if (closed || lane_closed[IndexOf(rank.lane)] ||
+          passed_over++ > kMaxPassedOver) {
+        break;
+      }
+      const StartAnswer answer = can_start(*pending);
+      if (answer == StartAnswer::kStart) {
+        m_virtual_time[IndexOf(rank.lane)] =
+            std::max(m_virtual_time[IndexOf(rank.lane)], rank.virtual_time);
+        return pending;
+      }
+      closed = answer == StartAnswer::kNotThisKind;
+      lane_closed[IndexOf(rank.lane)] = answer == StartAnswer::kNotThisLane;
+    }
+  }
+  return nullptr;
+}
+
+double FairPriorityQueue::VirtualPerService(const CallerState& caller) const {
+  return static_cast<double>(m_share_sum) / caller.share;
+}
+
+void FairPriorityQueue::Charge(const PendingRequest& pending,
+                               absl::Duration service) {
+  CallerState& caller = CallerOf(pending.request.caller);
+  caller.lanes[IndexOf(pending.GetLane())].virtual_time +=
+      service * VirtualPerService(caller);
+}
+
+WorkAhead FairPriorityQueue::AheadOf(const PendingRequest& pending) const {
+  WorkAhead ahead;
+  const CallerState* own = FindCaller(pending.request.caller);
+  const size_t lane = IndexOf(pending.GetLane());
+  const size_t last = IndexOf(pending.request.request_class);
+  const size_t first = pending.GetLane() == Lane::kPrimary ? 0 : last;
+  uint64_t active_shares = own == nullptr ? 1 : own->share;
+  for (const auto& [name, caller] : m_callers) {
+    if (caller.get() != own && caller->lanes[lane].queued > 0) {
+      active_shares += caller->share;
+    }
+  }
+  for (size_t index = first; index <= last; ++index) {
+    ahead.total += m_work[index];
+    ahead.own += own == nullptr ? absl::ZeroDuration() : own->work[index];
+  }
+  const double share = own == nullptr ? 1.0 : own->share;
+  ahead.own_fraction = share / static_cast<double>(active_shares);
+  ahead.own_queued = own == nullptr ? 0 : own->queued;
+  ahead.share_fraction =
+      share / static_cast<double>(std::max<uint64_t>(1, m_share_sum));
+  return ahead;
+}
+
+uint32_t FairPriorityQueue::Queued(Lane lane) const {
+  return m_queued[IndexOf(lane)];
+}
+
+uint32_t FairPriorityQueue::SlotsForLongWork(uint32_t slots) const {
+  return slots > 1 ? slots - 1 : slots;
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/decision/fifo_queue.cc
@@ -0,0 +1,71 @@
+#include "Source/decision/fifo_queue.h"
+
+#include "Source/kernel/registry.h"
+
+namespace heatherwick {
+namespace {
+
+const Registration<QueuePolicy, FifoQueue> g_registration("fifo");
+
+// Requests that may be passed over because only they cannot start, such as
+// reads that need a fresher target.
+constexpr size_t kMaxPassedOver = 8;
+
+}  // namespace
+
+void FifoQueue::OnShares(const Shares& /*shares*/) {}
+
+void FifoQueue::Push(PendingRequest* pending) {
+  LaneQueue& lane = m_lanes[static_cast<size_t>(pending->GetLane())];
+  lane.requests[pending->sequence] = pending;
+  lane.work += pending->estimate.mean;
+}
+
+void FifoQueue::Remove(PendingRequest* pending) {
+  LaneQueue& lane = m_lanes[static_cast<size_t>(pending->GetLane())];
+  lane.requests.erase(pending->sequence);
+  lane.work -= pending->estimate.mean;
+}
+
+PendingRequest* FifoQueue::Next(absl::Time /*now*/, CanStart can_start) {
+  PendingRequest* first = nullptr;
+  for (const LaneQueue& lane : m_lanes) {
+    size_t passed_over = 0;
+    for (const auto& [sequence, pending] : lane.requests) {
+      if (first != nullptr && first->sequence < sequence) {
+        break;
+      }
+      const StartAnswer answer = can_start(*pending);
+      if (answer == StartAnswer::kStart) {
+        first = pending;
+      }
+      if (answer == StartAnswer::kStart ||
+          answer == StartAnswer::kNotThisLane ||
+          ++passed_over > kMaxPassedOver) {
+        break;
+      }
+    }
+  }
+  return first;
+}
+
+void FifoQueue::Charge(const PendingRequest& /*pending*/,
+                       absl::Duration /*service*/) {}
+
+WorkAhead FifoQueue::AheadOf(const PendingRequest& pending) const {
+  const LaneQueue& lane = m_lanes[static_cast<size_t>(pending.GetLane())];
+  WorkAhead ahead;
+  ahead.own = lane.work;
+  ahead.total = lane.work;
+  return ahead;
+}
+
+uint32_t FifoQueue::Queued(Lane lane) const {
+  return m_lanes[static_cast<size_t>(lane)].requests.size();
+}
+
+uint32_t FifoQueue::SlotsForLongWork(uint32_t slots) const {
+  return slots;
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/decision/read_policy.h
@@ -0,0 +1,47 @@
+// Chooses the target of a read that accepts aged data.
+
+#ifndef SOURCE_DECISION_READ_POLICY_H_
+#define SOURCE_DECISION_READ_POLICY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "Source/decision/pending_request.h"
+#include "absl/time/time.h"
+
+namespace heatherwick {
+
+// A target that satisfies the read's age and position.
+struct ReadCandidate {
+  TargetId id;
+  bool primary = false;
+  bool same_data_centre = false;
+  bool can_start = false;     // A slot and a connection are free.
+  bool primary_work = false;  // Work that only the primary can do waits.
+  absl::Duration age;
+  uint32_t slots = 0;
+  uint32_t running = 0;
+  uint32_t queued = 0;  // Inside the target.
+  // Grows from 0 to 1 after the target has become fit for such reads.
+  double recovery = 1.0;
+};
+
+class ReadPolicy {
+ public:
+  static constexpr const char* kPluginKind = "read policy";
+
+  virtual ~ReadPolicy() = default;
+
+  // Index of a candidate that can start the read now, or nothing when the
+  // read should wait.
+  virtual std::optional<size_t> Choose(
+      const PendingRequest& pending,
+      const std::vector<ReadCandidate>& candidates,
+      absl::Time now) = 0;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_DECISION_READ_POLICY_H_
