decision: Let the expected confirmation delay decay

Cause: the scheduler refuses writes whose confirmation is expected to come after their deadline. Refused writes bring no new sample, so one slow period of the replicas would have refused all writes for ever. Ruled out: a probe write by the home, which would write to users' data. Change: the smoothed delay halves for each second without a confirmation. Conclusion: writes are tried again within seconds after the replicas recover.

--- a/Source/decision/commit_tracker.cc
+++ b/Source/decision/commit_tracker.cc
@@ -3,6 +3,7 @@
 #include "Source/decision/commit_tracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace heatherwick {
 
@@ -113,7 +114,8 @@
 }
 
 absl::Duration CommitTracker::ExpectedDelay(absl::Time now) const {
-  absl::Duration delay = m_smoothed_delay;
+  const double seconds = absl::ToDoubleSeconds(now - m_last_confirmed);
+  absl::Duration delay = m_smoothed_delay * std::exp2(-std::max(seconds, 0.0));
   for (const auto& [position, pending] : m_pending) {
     delay = std::max(delay, now - pending.since);
   }
@@ -144,6 +146,7 @@
     }
     actions->push_back(RequestConfirmed{pending.request});
     m_smoothed_delay += kSmoothing * ((now - pending.since) - m_smoothed_delay);
+    m_last_confirmed = now;
     entry = m_pending.erase(entry);
   }
 }
--- a/Source/decision/commit_tracker.h
+++ b/Source/decision/commit_tracker.h
@@ -88,7 +88,10 @@
   void OnTick(absl::Time now, std::vector<CommitAction>* actions);
 
   // Time that a confirmation is expected to take: the smoothed delay of the
-  // recent ones or, when longer, the wait of the oldest pending one.
+  // recent ones or, when longer, the wait of the oldest pending one. The
+  // smoothed delay halves for each second without a confirmation: writes that
+  // are refused because of it bring no new sample, and would be refused for
+  // ever.
   absl::Duration ExpectedDelay(absl::Time now) const;
 
   size_t Pending() const { return m_pending.size(); }
@@ -131,6 +134,7 @@
   // All positions are of m_term.
   PendingMap m_pending;
   absl::Duration m_smoothed_delay;
+  absl::Time m_last_confirmed = absl::InfinitePast();
 };
 
 }  // namespace heatherwick
--- a/Tests/decision/commit_tracker_test.cc
+++ b/Tests/decision/commit_tracker_test.cc
@@ -102,5 +102,19 @@
   CHECK(m_tracker.Pending() == 0);
 }
 
+// Guards against refusing all writes for ever after a time of slow replicas:
+// refused writes bring no new measurement of the delay.
+TEST_CASE_FIXTURE(CommitTrackerFixture,
+                  "CommitTracker_NoConfirmationsForSeconds_ExpectsLessDelay") {
+  Execute(1, ConfirmationKind::kWrite, {4, 10});
+  const WaitId wait = TakeWait("b");
+  const absl::Time later = m_now + absl::Seconds(1);
+  m_tracker.OnPositionReport("b", wait, 4, {4, 10}, later, &m_actions);
+  const absl::Duration before = m_tracker.ExpectedDelay(later);
+  CHECK(before >= absl::Milliseconds(50));
+  CHECK(m_tracker.ExpectedDelay(later + absl::Seconds(10)) <
+        absl::Milliseconds(1));
+}
+
 }  // namespace
 }  // namespace heatherwick
