decision: Tell a dead primary from a home that is cut off

Cause: for up to a second after a primary's death, the replicas' last contact is younger than the suspicion time. The controller took this for a primary that only the home cannot reach, gave the group up, and two homes would have competed for the promotion. Ruled out: a longer suspicion time, which lengthens every gap. Change: the home counts as cut off only when a replica has heard the primary half a suspicion time after the home last did. Until then the primary counts as lost and its targets are read again at once. Conclusion: one home handles a death; a real cut still moves the group.

--- a/Source/decision/failover_controller.cc
+++ b/Source/decision/failover_controller.cc
@@ -108,7 +108,7 @@
   found->second.answered_at = now;
   m_phase = Phase::kWatching;
   m_primary = PrimaryKnown{target, asked_term, "promoted"};
-  m_lost_reported = false;
+  m_lost = {};
   actions->push_back(*m_primary);
 }
 
@@ -191,7 +191,7 @@
       return;
     }
     m_primary = PrimaryKnown{target, highest, "reported"};
-    m_lost_reported = false;
+    m_lost = {};
     actions->push_back(*m_primary);
     return;
   }
@@ -205,11 +205,12 @@
 void FailoverController::LosePrimary(absl::string_view reason,
                                      bool home_cut_off,
                                      std::vector<FailoverAction>* actions) {
-  if (!m_primary && m_lost_reported) {
+  const std::pair<bool, bool> state = {true, home_cut_off};
+  if (!m_primary && m_lost == state) {
     return;
   }
   m_primary.reset();
-  m_lost_reported = true;
+  m_lost = state;
   actions->push_back(PrimaryLost{reason, home_cut_off});
 }
 
@@ -226,10 +227,19 @@
 }
 
 bool FailoverController::ReplicaHearsPrimary(absl::Time now) const {
+  // A replica that heard the primary about as late as this instance did says
+  // nothing about the present.
+  absl::Time last_heard = m_watching_since;
+  for (const auto& [target, watched] : m_targets) {
+    if (watched.status.primary) {
+      last_heard = std::max(last_heard, watched.answered_at);
+    }
+  }
   return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& row) {
     const Watched& watched = row.second;
     return IsFresh(watched, now) && !watched.status.primary &&
-           watched.status.primary_silent < m_options.suspicion_after;
+           watched.answered_at - watched.status.primary_silent >
+               last_heard + m_options.suspicion_after / 2;
   });
 }
 
@@ -263,6 +273,9 @@
     StartFencing("primary_silent", now, actions);
   } else if (ReplicaHearsPrimary(now)) {
     LosePrimary("home_cut_off", /*home_cut_off=*/true, actions);
+  } else if (m_primary) {
+    LosePrimary("no_answer", /*home_cut_off=*/false, actions);
+    OnPrimaryDoubted(now, actions);
   }
 }
 
--- a/Source/decision/failover_controller.h
+++ b/Source/decision/failover_controller.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -148,6 +149,7 @@
   // Replicas that answer and have not heard the primary for the suspicion
   // time; false when too few answer to say.
   bool MajorityOfReplicasMissPrimary(absl::Time now) const;
+  // A replica has heard the primary well after this instance last did.
   bool ReplicaHearsPrimary(absl::Time now) const;
   void ConsiderPromotion(absl::Time now, std::vector<FailoverAction>* actions);
   void StartFencing(absl::string_view reason,
@@ -163,7 +165,8 @@
   bool m_active = true;
   std::map<TargetId, Watched> m_targets;
   std::optional<PrimaryKnown> m_primary;
-  bool m_lost_reported = false;
+  // Whether PrimaryLost was the latest report, and its home_cut_off.
+  std::pair<bool, bool> m_lost;
   absl::Time m_watching_since = absl::InfinitePast();
   absl::Time m_no_primary_since = absl::InfiniteFuture();
 
