load: Add a load of real proxies that verifies every request

Process tests need to know for each request whether it ran exactly once or not at all, whatever the proxies told. heatherwick-load-run sends an open-loop, seeded load over several proxies, settles unknown outcomes with Resolve and reads every row back. standin-call sends a JSON request to any service, so that scripts can set faults. No run against a proxy yet.

--- /dev/null
+++ b/Source/load/proxy_client.cc
@@ -0,0 +1,90 @@
+// gRPC client of the proxies under load.
+
+#include "Source/load/proxy_client.h"
+
+#include "absl/time/clock.h"
+#include "grpcpp/grpcpp.h"
+
+namespace heatherwick {
+
+namespace {
+
+constexpr absl::Duration kAvoidFor = absl::Milliseconds(500);
+// A proxy answers by the request's deadline; the answer needs time to arrive.
+constexpr absl::Duration kAnswerMargin = absl::Milliseconds(500);
+
+}  // namespace
+
+ProxyClient::ProxyClient(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 500);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    // gRPC would send a call again on its own when a connection breaks early.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    auto proxy = std::make_unique<Proxy>();
+    proxy->stub = proto::Proxy::NewStub(grpc::CreateCustomChannel(
+        address, grpc::InsecureChannelCredentials(), arguments));
+    m_proxies.push_back(std::move(proxy));
+  }
+}
+
+ProxyClient::Proxy& ProxyClient::Choose(uint64_t choice) {
+  const int64_t now = absl::ToUnixMillis(absl::Now());
+  for (size_t i = 0; i < m_proxies.size(); ++i) {
+    Proxy& proxy = *m_proxies[(choice + i) % m_proxies.size()];
+    if (proxy.avoid_until_ms <= now) {
+      return proxy;
+    }
+  }
+  return *m_proxies[choice % m_proxies.size()];
+}
+
+template <typename Call>
+proto::ExecuteReply ProxyClient::Send(absl::Duration deadline,
+                                      uint64_t choice,
+                                      const Call& call) {
+  Proxy& proxy = Choose(choice);
+  grpc::ClientContext context;
+  context.set_deadline(
+      absl::ToChronoTime(absl::Now() + deadline + kAnswerMargin));
+  proto::ExecuteReply reply;
+  const grpc::Status status = call(*proxy.stub, &context, &reply);
+  if (status.ok()) {
+    return reply;
+  }
+  proxy.avoid_until_ms = absl::ToUnixMillis(absl::Now() + kAvoidFor);
+  reply.Clear();
+  reply.set_outcome(proto::UNKNOWN);
+  reply.set_error_kind("transport");
+  reply.set_error_message(status.error_message());
+  return reply;
+}
+
+proto::ExecuteReply ProxyClient::Execute(proto::ExecuteRequest request,
+                                         absl::Duration deadline,
+                                         uint64_t choice) {
+  request.set_deadline_ms(
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(deadline)));
+  return Send(deadline, choice,
+              [&request](proto::Proxy::Stub& stub, grpc::ClientContext* context,
+                         proto::ExecuteReply* reply) {
+                return stub.Execute(context, request, reply);
+              });
+}
+
+proto::ExecuteReply ProxyClient::Resolve(proto::ResolveRequest request,
+                                         absl::Duration deadline,
+                                         uint64_t choice) {
+  request.set_deadline_ms(
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(deadline)));
+  return Send(deadline, choice,
+              [&request](proto::Proxy::Stub& stub, grpc::ClientContext* context,
+                         proto::ExecuteReply* reply) {
+                return stub.Resolve(context, request, reply);
+              });
+}
+
+}  // namespace heatherwick
