--- a/Source/load/proxy_client.cc
+++ b/Source/load/proxy_client.cc
@@ -2,6 +2,9 @@
 
 #include "Source/load/proxy_client.h"
 
+#include <algorithm>
+
+#include "absl/strings/match.h"
 #include "absl/time/clock.h"
 #include "grpcpp/grpcpp.h"
 
@@ -13,6 +16,13 @@
 // A proxy answers by the request's deadline; the answer needs time to arrive.
 constexpr absl::Duration kAnswerMargin = absl::Milliseconds(500);
 
+// Without a connection the request has not left this process, and a load
+// balancer gives it to another proxy.
+bool WasNeverSent(const grpc::Status& status) {
+  return status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         absl::StartsWith(status.error_message(), "failed to connect");
+}
+
 }  // namespace
 
 ProxyClient::ProxyClient(const std::vector<std::string>& addresses) {
@@ -42,20 +52,31 @@
   return *m_proxies[choice % m_proxies.size()];
 }
 
+bool ProxyClient::HasOther(absl::Time now) const {
+  return std::any_of(m_proxies.begin(), m_proxies.end(),
+                     [now](const std::unique_ptr<Proxy>& proxy) {
+                       return proxy->avoid_until_ms <= absl::ToUnixMillis(now);
+                     });
+}
+
 template <typename Call>
 proto::ExecuteReply ProxyClient::Send(absl::Duration deadline,
                                       uint64_t choice,
                                       const Call& call) {
-  Proxy& proxy = Choose(choice);
-  grpc::ClientContext context;
-  context.set_deadline(
-      absl::ToChronoTime(absl::Now() + deadline + kAnswerMargin));
+  const absl::Time limit = absl::Now() + deadline + kAnswerMargin;
   proto::ExecuteReply reply;
-  const grpc::Status status = call(*proxy.stub, &context, &reply);
-  if (status.ok()) {
-    return reply;
-  }
-  proxy.avoid_until_ms = absl::ToUnixMillis(absl::Now() + kAvoidFor);
+  grpc::Status status;
+  do {
+    Proxy& proxy = Choose(choice);
+    grpc::ClientContext context;
+    context.set_deadline(absl::ToChronoTime(limit));
+    status = call(*proxy.stub, &context, &reply);
+    if (status.ok()) {
+      return reply;
+    }
+    proxy.avoid_until_ms = absl::ToUnixMillis(absl::Now() + kAvoidFor);
+  } while (WasNeverSent(status) && HasOther(absl::Now()) &&
+           absl::Now() < limit);
   reply.Clear();
   reply.set_outcome(proto::UNKNOWN);
   reply.set_error_kind("transport");
--- a/Source/load/proxy_client.h
+++ b/Source/load/proxy_client.h
@@ -35,6 +35,8 @@
   };
 
   Proxy& Choose(uint64_t choice);
+  // Whether some proxy is not being avoided.
+  bool HasOther(absl::Time now) const;
   template <typename Call>
   proto::ExecuteReply Send(absl::Duration deadline,
                            uint64_t choice,
--- /dev/null
+++ b/Tests/process/cluster.sh
@@ -0,0 +1,283 @@
+# Functions of the process tests, the demonstration and the measurements:
+# they run a platform, proxies and groups of targets as processes on free
+# ports of 127.0.0.1, and end the processes they started, by id.
+#
+# The caller sets BUILD to the build directory. shellcheck shell=bash
+
+set -euo pipefail
+
+WORK=$(mktemp -d)
+declare -A PID       # Process id by name.
+declare -A ADDRESS   # IP:port by name.
+declare -A COMMAND   # Command line by name, to start it again.
+PROXIES=()
+GROUPS_OF_CLUSTER=()
+SLOTS=${SLOTS:-2}
+CONNECTIONS=${CONNECTIONS:-16}
+SHEET=$WORK/sheet.csv
+LOAD=$BUILD/Source/programs/heatherwick-load-run
+
+clean_up() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill -CONT "${PID[$name]}" 2>/dev/null || true
+    kill -KILL "${PID[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  rm -rf "$WORK"
+}
+trap clean_up EXIT
+
+now_ms() { date +%s%3N; }
+
+say() { echo "$(date +%T.%3N) $*"; }
+
+fail() {
+  echo "FAILED: $*" >&2
+  local log
+  for log in "$WORK"/*.log; do
+    echo "--- ${log##*/}" >&2
+    tail -n "${LOG_LINES:-15}" "$log" >&2
+  done
+  exit 1
+}
+
+port_is_free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+
+# Sets FIRST_PORT so that this many ports from it on are free. The range is
+# below the ports that the system gives to outgoing connections.
+choose_ports() {
+  local count=$1 port free
+  for _ in $(seq 50); do
+    FIRST_PORT=$((20000 + RANDOM % 10000))
+    free=yes
+    for ((port = FIRST_PORT; port < FIRST_PORT + count; ++port)); do
+      port_is_free "$port" || { free=no; break; }
+    done
+    [ "$free" = no ] || return 0
+  done
+  fail "no free range of $count ports"
+}
+
+# start NAME COMMAND...: runs it in the background.
+start() {
+  local name=$1
+  shift
+  COMMAND[$name]=$*
+  "$@" >>"$WORK/$name.log" 2>&1 &
+  PID[$name]=$!
+}
+
+start_again() {
+  # The commands hold no spaces within an argument.
+  # shellcheck disable=SC2086
+  start "$1" ${COMMAND[$1]}
+}
+
+# stop NAME: a planned stop; fails when the process does not end with 0.
+stop() {
+  local code=0
+  kill -TERM "${PID[$1]}"
+  wait "${PID[$1]}" || code=$?
+  unset "PID[$1]"
+  [ "$code" = 0 ] || fail "$1 ended with $code"
+}
+
+kill_now() {
+  kill -KILL "${PID[$1]}"
+  wait "${PID[$1]}" 2>/dev/null || true
+  unset "PID[$1]"
+}
+
+call() { "$BUILD/Tests/StandIns/standin-call" "$@"; }
+
+# field NAME: the first value of that name in the JSON on stdin.
+field() {
+  grep -o "\"$1\":\(\"[^\"]*\"\|[a-z0-9]*\)" | head -n 1 |
+    sed 's/^[^:]*://; s/^"//; s/"$//'
+}
+
+# wait_until SECONDS COMMAND...: until it succeeds.
+wait_until() {
+  local end=$(($(now_ms) + $1 * 1000))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$(now_ms)" -lt "$end" ] || fail "not in time: $*"
+    sleep 0.05
+  done
+}
+
+# start_cluster GROUPS PROXIES: groups g1, g2, ... with targets g1a, g1b,
+# g1c, and proxies p1, p2, ...
+start_cluster() {
+  local groups=$1 proxies=$2 i group
+  choose_ports $((1 + proxies + 3 * groups))
+  local port=$FIRST_PORT instances=""
+  ADDRESS[platform]=127.0.0.1:$port
+  for ((i = 1; i <= proxies; ++i)); do
+    ADDRESS[p$i]=127.0.0.1:$((++port))
+    instances+="${instances:+,}p$i@${ADDRESS[p$i]}@dc$((i % 3 + 1))@home"
+    PROXIES+=("p$i")
+  done
+  start platform "$BUILD/Tests/StandIns/standin-platform" \
+    "--listen=${ADDRESS[platform]}" "--instances=$instances"
+  for ((i = 1; i <= groups; ++i)); do
+    start_group "g$i" "$port"
+    port=$((port + 3))
+  done
+  for ((i = 1; i <= proxies; ++i)); do
+    start "p$i" "$BUILD/Source/programs/heatherwickd" "--instance-id=p$i" \
+      "--listen=${ADDRESS[p$i]}" --region=home "--data-centre=dc$((i % 3 + 1))" \
+      "--platform=${ADDRESS[platform]}"
+  done
+  write_sheet
+}
+
+# start_group NAME PORT: on the three ports after PORT.
+start_group() {
+  local group=$1 port=$2 letter peers="" first=--primary-at-start
+  GROUPS_OF_CLUSTER+=("$group")
+  for letter in a b c; do
+    ADDRESS[$group$letter]=127.0.0.1:$((++port))
+    peers+="${peers:+,}$group$letter@${ADDRESS[$group$letter]}"
+  done
+  for letter in a b c; do
+    # shellcheck disable=SC2086
+    start "$group$letter" "$BUILD/Tests/StandIns/standin-target" \
+      "--id=$group$letter" "--listen=${ADDRESS[$group$letter]}" \
+      "--peers=$peers" "--slots=$SLOTS" "--connections=$CONNECTIONS" $first
+    first=
+  done
+}
+
+write_sheet() {
+  local group letter dc
+  {
+    echo "record,name,group,region,data_centre,address,slots,connections,max_age,repeatable,share"
+    for group in "${GROUPS_OF_CLUSTER[@]}"; do
+      echo "group,$group,,home,,,,,,,"
+      dc=0
+      for letter in a b c; do
+        dc=$((dc + 1))
+        echo "target,$group$letter,$group,,dc$dc,${ADDRESS[$group$letter]},$SLOTS,$CONNECTIONS,,,"
+      done
+    done
+    echo "read,current,,,,,,,0s,,"
+    echo "read,browse,,,,,,,2s,,"
+    echo "request,order,,,,,,,,no,"
+    echo "request,stock,,,,,,,,yes,"
+    echo "caller,shop,,,,,,,,,2"
+    echo "caller,depot,,,,,,,,,1"
+    echo "caller,check,,,,,,,,,1"
+  } >"$SHEET"
+}
+
+# submit PROXY BASE_VERSION OPERATOR [SUBMISSION]: prints the JSON reply.
+submit() {
+  call "${ADDRESS[$1]}" Operator.SubmitSheet \
+    "{\"content\":\"$(base64 -w0 "$SHEET")\",\"base_version\":$2,\"submitted_by\":\"$3\",\"submission\":\"${4:-}\"}"
+}
+
+accepted() { submit "$@" | grep -q '"accepted":true'; }
+
+sheet_version() {
+  call "${ADDRESS[$1]}" Operator.ListMembers '{}' | field sheet_version
+}
+
+version_is() { [ "$(sheet_version "$1")" = "$2" ]; }
+
+# read_through PROXY GROUP KIND STATEMENT [TOKEN]: prints the JSON reply.
+read_through() {
+  call "${ADDRESS[$1]}" Proxy.Execute \
+    "{\"caller\":\"check\",\"group\":\"$2\",\"operation\":\"READ\",\"read_kind\":\"$3\",\"statement\":\"$4\",\"token\":\"${5:-}\"}"
+}
+
+# write_through PROXY GROUP KEY STATEMENT
+write_through() {
+  call "${ADDRESS[$1]}" Proxy.Execute \
+    "{\"caller\":\"check\",\"group\":\"$2\",\"operation\":\"WRITE\",\"request_kind\":\"order\",\"request_key\":\"$3\",\"statement\":\"$4\"}"
+}
+
+is_done() { "$@" | grep -q '"outcome":"DONE"'; }
+
+# Starts a cluster, submits its sheet and waits until every proxy serves
+# every group.
+start_ready_cluster() {
+  start_cluster "$@"
+  wait_until 10 accepted p1 0 planner
+  local proxy group
+  for proxy in "${PROXIES[@]}"; do
+    for group in "${GROUPS_OF_CLUSTER[@]}"; do
+      wait_until 15 is_done read_through "$proxy" "$group" current "GET ready"
+    done
+  done
+}
+
+home_of() {
+  call "${ADDRESS[${2:-p1}]}" Operator.ListGroups "{\"group\":\"$1\"}" |
+    field home
+}
+
+is_primary() {
+  call "${ADDRESS[$1]}" Target.Status '{}' | grep -q '"primary":true'
+}
+
+# primary_of GROUP: the primary of the highest term.
+primary_of() {
+  local letter status best=0 term primary=""
+  for letter in a b c; do
+    [ -n "${PID[$1$letter]:-}" ] || continue
+    status=$(timeout 1 "$BUILD/Tests/StandIns/standin-call" \
+      "${ADDRESS[$1$letter]}" Target.Status '{}') || continue
+    term=$(field term <<<"$status")
+    if grep -q '"primary":true' <<<"$status" && [ "$term" -gt "$best" ]; then
+      best=$term
+      primary=$1$letter
+    fi
+  done
+  echo "$primary"
+}
+
+# faults TARGET JSON
+faults() { call "${ADDRESS[$1]}" TargetStandIn.SetFaults "$2" >/dev/null; }
+
+store_faults() {
+  call "${ADDRESS[platform]}" PlatformStandIn.SetFaults "$1" >/dev/null
+}
+
+join_by_comma() { local IFS=,; echo "$*"; }
+
+# start_load SECONDS [FLAG...]
+start_load() {
+  local seconds=$1 proxy addresses=()
+  shift
+  for proxy in "${PROXIES[@]}"; do
+    addresses+=("${ADDRESS[$proxy]}")
+  done
+  start load "$LOAD" "--proxies=$(join_by_comma "${addresses[@]}")" \
+    "--groups=$(join_by_comma "${GROUPS_OF_CLUSTER[@]}")" \
+    --callers=shop:2,depot:1 "--duration=${seconds}s" \
+    "--json=$WORK/load.json" "--seed=${SEED:-1}" "$@"
+}
+
+# Fails when the load found any violation.
+finish_load() {
+  local code=0
+  wait "${PID[load]}" || code=$?
+  unset "PID[load]"
+  grep -v '^progress' "$WORK/load.log" || true
+  [ "$code" = 0 ] || fail "the load ended with $code"
+}
+
+# gap_below MS: the longest gap between acknowledged writes of each group.
+gap_below() {
+  local gap
+  for gap in $(grep -o 'longest_ms=[0-9]*' "$WORK/load.log" | cut -d= -f2); do
+    [ "$gap" -lt "$1" ] || fail "a write gap of $gap ms reaches $1 ms"
+  done
+}
+
+error_count() {
+  { grep "^error kind=$1 " "$WORK/load.log" || echo count=0; } |
+    sed 's/.*count=//'
+}
