--- a/Source/runtime/unary_call.h
+++ b/Source/runtime/unary_call.h
@@ -42,7 +42,7 @@
   Call* const raw = call.get();
   std::function<void(grpc::Status)> finished = [call = std::move(call),
                                                 done = std::move(done)](
-                                                   grpc::Status status) {
+                                                   const grpc::Status& status) {
     if (status.ok()) {
       done(std::move(call->reply));
       return;
