decision: Give long statements at most half of a target's slots

Cause: two of three slots could hold statements that run 50 times longer, and short statements then shared one slot. Change: fair_priority lets long statements hold slots / 2, at least one.

--- a/Source/decision/fair_priority_queue.cc
+++ b/Source/decision/fair_priority_queue.cc
@@ -222,7 +222,7 @@
 }
 
 uint32_t FairPriorityQueue::SlotsForLongWork(uint32_t slots) const {
-  return slots > 1 ? slots - 1 : slots;
+  return std::max(1U, slots / 2);
 }
 
 }  // namespace heatherwick
