--- a/Source/load/load_session.cc
+++ b/Source/load/load_session.cc
@@ -211,7 +211,7 @@
                                           const Outcome& first) {
   if (request.request_kind() == m_context.options->repeatable_kind) {
     for (int i = 0; i < kRepeats; ++i) {
-      const Outcome again = Send(request);
+      Outcome again = Send(request);
       // Not run says nothing about the first copy.
       if (again.end == RequestEnd::kDone) {
         return again;
--- a/Source/programs/heatherwick_load_run.cc
+++ b/Source/programs/heatherwick_load_run.cc
@@ -1,12 +1,15 @@
 // heatherwick-load-run: loads real proxies and verifies what they told.
 
 #include <cstdio>
+#include <exception>
 #include <string>
 #include <vector>
 
 #include "Source/load/process_load.h"
 
-int main(int argc, char** argv) {
+namespace {
+
+int Run(int argc, char** argv) {
   heatherwick::ProcessLoadOptions options;
   heatherwick::SettingsParser parser(
       "heatherwick-load-run",
@@ -24,3 +27,15 @@
   }
   return heatherwick::ProcessLoad(options).Run();
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    // As when the system has no room for the sessions' threads.
+    fprintf(stderr, "heatherwick-load-run: %s\n", error.what());
+    return 2;
+  }
+}
--- a/Tests/process/cluster.sh
+++ b/Tests/process/cluster.sh
@@ -1,8 +1,9 @@
+# shellcheck shell=bash
 # Functions of the process tests, the demonstration and the measurements:
 # they run a platform, proxies and groups of targets as processes on free
 # ports of 127.0.0.1, and end the processes they started, by id.
 #
-# The caller sets BUILD to the build directory. shellcheck shell=bash
+# The caller sets BUILD to the build directory.
 
 set -euo pipefail
 
