--- a/Source/runtime/daemon.cc
+++ b/Source/runtime/daemon.cc
@@ -22,6 +22,8 @@
 // Peers and the balancer learn within this time that the instance leaves;
 // until then it still receives and forwards requests.
 constexpr absl::Duration kLeaveNotice = absl::Seconds(1);
+// Peers that are asked for a sheet before the store is.
+constexpr size_t kPeersToAsk = 3;
 constexpr absl::Duration kStopPoll = absl::Milliseconds(20);
 
 std::string NewIncarnation() {
@@ -99,17 +101,9 @@
   sheets.own_id = self.id;
   sheets.store = m_store.get();
   sheets.channels = &m_channels;
-  sheets.decisions = log;
+  sheets.record = log;
   sheets.is_poller = [this] { return m_members->IsStorePoller(); };
-  sheets.peer_addresses = [this, self] {
-    std::vector<std::string> addresses;
-    for (const MemberInfo& member : *m_members->Members()) {
-      if (member.id != self.id) {
-        addresses.push_back(member.address);
-      }
-    }
-    return addresses;
-  };
+  sheets.peer_addresses = [this] { return SomePeers(); };
   m_sheets = std::make_unique<SheetManager>(std::move(sheets));
 
   m_home_context = {self, m_driver.get(), &m_decision_log, &m_metrics,
@@ -133,6 +127,19 @@
   return std::monostate{};
 }
 
+std::vector<std::string> Daemon::SomePeers() const {
+  std::vector<std::string> addresses;
+  for (const MemberInfo& member : *m_members->Members()) {
+    if (member.id != m_options.instance_id) {
+      addresses.push_back(member.address);
+    }
+  }
+  absl::BitGen random;
+  std::shuffle(addresses.begin(), addresses.end(), random);
+  addresses.resize(std::min(addresses.size(), kPeersToAsk));
+  return addresses;
+}
+
 Status Daemon::StartServer() {
   grpc::ServerBuilder builder;
   int port = 0;
@@ -153,7 +160,6 @@
                  "choose a free address of this machine with --listen"};
   }
   m_members->Start();
-  m_sheets->Start();
   m_ticks = std::thread([this] { RunTicks(); });
   return std::monostate{};
 }
@@ -189,7 +195,6 @@
   m_server->Shutdown(absl::ToChronoTime(absl::Now() + absl::Milliseconds(500)));
   m_stopping = true;
   m_ticks.join();
-  m_sheets->Stop();
   m_members->Stop();
   m_homes->CloseAll();
   m_server->Wait();
--- a/Source/runtime/daemon.h
+++ b/Source/runtime/daemon.h
@@ -6,7 +6,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "Source/base/decision_log.h"
 #include "Source/base/error.h"
@@ -47,6 +49,8 @@
 
   Status CreateParts();
   Status StartServer();
+  // Addresses of a few other instances in random order.
+  std::vector<std::string> SomePeers() const;
   void RunTicks();
 
   const DaemonOptions m_options;
