--- a/Source/runtime/daemon.cc
+++ b/Source/runtime/daemon.cc
@@ -88,9 +88,8 @@
   members.own_sheet_version = [this] {
     return m_sheets == nullptr ? 0 : m_sheets->Current().version;
   };
-  members.on_newer_sheet = [this](const InstanceId& /*id*/,
-                                  const std::string& address,
-                                  uint64_t version) {
+  members.on_peer_sheet = [this](const InstanceId& /*id*/,
+                                 const std::string& address, uint64_t version) {
     if (m_sheets != nullptr) {
       m_sheets->Seek(version, address);
     }
--- a/Source/runtime/member_manager.cc
+++ b/Source/runtime/member_manager.cc
@@ -356,8 +356,8 @@
 
 void MemberManager::NoteSheet(const proto::MemberUpdate& peer,
                               uint64_t version) const {
-  if (m_options.on_newer_sheet && version > OwnSheetVersion()) {
-    m_options.on_newer_sheet(peer.id(), peer.address(), version);
+  if (m_options.on_peer_sheet && version > 0) {
+    m_options.on_peer_sheet(peer.id(), peer.address(), version);
   }
 }
 
--- a/Source/runtime/member_manager.h
+++ b/Source/runtime/member_manager.h
@@ -38,10 +38,11 @@
   // callbacks are called from several threads, with no lock held.
   std::function<void(const DecisionRecord&)> decisions;
   std::function<uint64_t()> own_sheet_version;
-  // A peer has a newer sheet than this instance.
+  // A peer has named the version of its sheet, newer or not: the same version
+  // tells the sheet manager that it need not read the head itself.
   std::function<
       void(const InstanceId& id, const std::string& address, uint64_t version)>
-      on_newer_sheet;
+      on_peer_sheet;
   // The own incarnation changed because an earlier process of this instance
   // outranked it.
   std::function<void(const std::string& incarnation)> on_incarnation;
--- a/Tests/runtime/member_manager_test.cc
+++ b/Tests/runtime/member_manager_test.cc
@@ -66,8 +66,8 @@
     options.store = store;
     options.channels = &m_channels;
     options.own_sheet_version = [this] { return m_sheet.load(); };
-    options.on_newer_sheet = [this](const InstanceId&, const std::string&,
-                                    uint64_t version) { m_sheet = version; };
+    options.on_peer_sheet = [this](const InstanceId&, const std::string&,
+                                   uint64_t version) { m_sheet = version; };
     m_server = builder.BuildAndStart();
     options.own.address = absl::StrCat("127.0.0.1:", port);
     store->Add(options.own);
