runtime: Keep one write in progress on a target's stream

Transactions were refused as well: their steps were asked for a request key, which belongs to the COMMIT. Ruled out: a fault of the target's stand-in: the assertion stands in the proxies' logs. Change: a reply that comes early is kept until the write has ended. Steps of a transaction need no key.

--- a/Source/runtime/grpc_target_connection.cc
+++ b/Source/runtime/grpc_target_connection.cc
@@ -63,6 +63,7 @@
       m_request = std::move(request);
       m_request.set_sequence(++m_sequence);
       m_done = std::move(done);
+      m_writing = true;
       StartWrite(&m_request);
       return;
     }
@@ -96,7 +97,13 @@
   Callback done;
   {
     absl::MutexLock lock(&m_mutex);
-    if (m_done != nullptr && reply.sequence() == m_sequence) {
+    if (m_done == nullptr || reply.sequence() != m_sequence) {
+      reply.Clear();
+    } else if (m_writing) {
+      m_early_reply = std::move(reply);
+      StartRead(&m_reply);
+      return;
+    } else {
       done = std::exchange(m_done, nullptr);
     }
   }
@@ -111,6 +118,20 @@
 void GrpcTargetConnection::OnWriteDone(bool ok) {
   if (!ok) {
     Break();
+    return;
+  }
+  Callback done;
+  std::optional<proto::StatementReply> reply;
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_writing = false;
+    reply = std::exchange(m_early_reply, std::nullopt);
+    if (reply) {
+      done = std::exchange(m_done, nullptr);
+    }
+  }
+  if (done != nullptr) {
+    done(*std::move(reply));
   }
 }
 
--- a/Source/runtime/grpc_target_connection.h
+++ b/Source/runtime/grpc_target_connection.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Source/proto/target.grpc.pb.h"
@@ -53,6 +54,11 @@
   proto::StatementRequest m_request ABSL_GUARDED_BY(m_mutex);
   uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
   Callback m_done ABSL_GUARDED_BY(m_mutex);  // Of the outstanding statement.
+  // gRPC may report a reply before the end of the write that it answers. The
+  // reply is kept until then: a statement that follows it would start a second
+  // write, which gRPC answers with an abort.
+  bool m_writing ABSL_GUARDED_BY(m_mutex) = false;
+  std::optional<proto::StatementReply> m_early_reply ABSL_GUARDED_BY(m_mutex);
   TargetDriver::Opened m_opened ABSL_GUARDED_BY(m_mutex);
   std::function<void()> m_closed ABSL_GUARDED_BY(m_mutex);
   bool m_broken ABSL_GUARDED_BY(m_mutex) = false;
--- a/Source/runtime/request_rules.cc
+++ b/Source/runtime/request_rules.cc
@@ -58,7 +58,11 @@
                        sheet.request_kinds);
   }
   rules.repeatable = kind->second.repeatable;
-  if (!rules.repeatable && request.request_key().empty()) {
+  // The steps of a transaction take effect with its COMMIT, which carries the
+  // key.
+  const bool step =
+      request.operation() == proto::WRITE && !request.transaction().empty();
+  if (!rules.repeatable && !step && request.request_key().empty()) {
     return Error{ErrorKind::kInvalidArgument,
                  absl::StrCat("request_kind \"", request.request_kind(),
                               "\" may not be repeated, but the request has no "
