decision: Replace cut-off, restarted and leaving primaries

Cause: the controller trusted a primary as long as it answered. A primary that its replicas cannot reach stayed in charge although it confirms nothing; one that had restarted without its role stayed in charge for ever; a leaving one was never replaced. A primary removed from the group came back into the set of targets, so that it counted in the majority. A refused promotion could leave the flag "primary" beside a newer term.

Change: replacement when a majority of the replicas misses a primary that answers; its grant does not count while the others are a majority, because its log is the longest by what it could not replicate. A status that was asked for after the promotion and denies the role ends it. A leaving primary is drained until a replica has its whole log, for at most 500 ms, and goes on when no replica catches up. Attempts end when the group changes.

Conclusion: the group serves again after each of these faults; whether a write may be acknowledged does not depend on the changed rules.

--- a/Source/decision/failover_controller.cc
+++ b/Source/decision/failover_controller.cc
@@ -16,9 +16,24 @@
                                  absl::Time now) {
   std::map<TargetId, Watched> watched;
   for (const TargetId& target : targets) {
-    watched[target] = m_targets[target];
+    const auto known = m_targets.find(target);
+    watched[target] = known == m_targets.end() ? Watched() : known->second;
   }
+  const bool changed =
+      watched.size() != m_targets.size() ||
+      !std::equal(watched.begin(), watched.end(), m_targets.begin(),
+                  [](const auto& left, const auto& right) {
+                    return left.first == right.first;
+                  });
   m_targets = std::move(watched);
+  if (changed && m_phase != Phase::kWatching) {
+    // Grants of another set of targets prove no majority of this one.
+    m_grants.clear();
+    m_phase = Phase::kWatching;
+  }
+  if (m_primary && !m_targets.contains(m_primary->target)) {
+    m_primary.reset();
+  }
   if (m_watching_since == absl::InfinitePast()) {
     m_watching_since = now;
   }
@@ -43,6 +58,8 @@
   watched.answered_at = now;
   if (m_phase == Phase::kWatching || m_phase == Phase::kBackingOff) {
     AdoptReportedPrimary(now, actions);
+  } else if (m_phase == Phase::kDraining) {
+    ConsiderHandover(now, actions);
   }
 }
 
@@ -82,7 +99,11 @@
   }
   status.last = last;
   m_grants[target] = last;
-  if (m_grants.size() >= Majority()) {
+  const size_t unsuspected = m_grants.size() - m_grants.count(m_suspect);
+  if (unsuspected >= Majority()) {
+    // These are a majority by themselves, so their most advanced log has all
+    // that was acknowledged. The suspect's log may be longer.
+    m_grants.erase(m_suspect);
     ChooseAndPromote(now, actions);
   }
 }
@@ -99,7 +120,11 @@
     return;
   }
   if (!promoted) {
-    found->second.status.term = std::max(found->second.status.term, term);
+    TargetStatus& status = found->second.status;
+    if (term > status.term) {
+      status.term = term;
+      status.primary = false;
+    }
     BackOff("higher_term", now, actions);
     return;
   }
@@ -107,9 +132,7 @@
   found->second.status.term = asked_term;
   found->second.answered_at = now;
   m_phase = Phase::kWatching;
-  m_primary = PrimaryKnown{target, asked_term, "promoted"};
-  m_lost = {};
-  actions->push_back(*m_primary);
+  TakePrimary({target, asked_term, "promoted"}, now, actions);
 }
 
 void FailoverController::OnTick(absl::Time now,
@@ -118,26 +141,34 @@
     const bool overdue = watched.read_outstanding &&
                          now >= watched.next_read + m_options.status_timeout;
     if ((!watched.read_outstanding && now >= watched.next_read) || overdue) {
-      watched.read_outstanding = true;
-      watched.next_read = now + m_options.status_period;
-      actions->push_back(ReadTargetStatus{target});
+      ReadStatus(target, &watched, now, actions);
     }
   }
   if (m_phase == Phase::kWatching) {
     ConsiderPromotion(now, actions);
     return;
   }
+  if (m_phase == Phase::kDraining) {
+    OnPrimaryDoubted(now, actions);
+    ConsiderHandover(now, actions);
+    return;
+  }
   if (now < m_phase_ends) {
     return;
   }
   switch (m_phase) {
     case Phase::kFencing:
-      BackOff("too_few_grants", now, actions);
+      if (m_grants.size() >= Majority()) {
+        ChooseAndPromote(now, actions);
+      } else {
+        BackOff("too_few_grants", now, actions);
+      }
       break;
     case Phase::kPromoting:
       BackOff("no_answer", now, actions);
       break;
     case Phase::kBackingOff:
+    case Phase::kDraining:
     case Phase::kWatching:
       m_phase = Phase::kWatching;
       AdoptReportedPrimary(now, actions);
@@ -151,13 +182,30 @@
     std::vector<FailoverAction>* actions) {
   for (auto& [target, watched] : m_targets) {
     if (!watched.read_outstanding) {
-      watched.read_outstanding = true;
-      watched.next_read = now + m_options.status_period;
-      actions->push_back(ReadTargetStatus{target});
+      ReadStatus(target, &watched, now, actions);
     }
   }
 }
 
+void FailoverController::ReadStatus(const TargetId& target,
+                                    Watched* watched,
+                                    absl::Time now,
+                                    std::vector<FailoverAction>* actions) {
+  watched->read_outstanding = true;
+  watched->asked_at = now;
+  watched->next_read = now + m_options.status_period;
+  actions->push_back(ReadTargetStatus{target});
+}
+
+void FailoverController::TakePrimary(const PrimaryKnown& primary,
+                                     absl::Time now,
+                                     std::vector<FailoverAction>* actions) {
+  m_primary = primary;
+  m_primary_since = now;
+  m_lost = {};
+  actions->push_back(primary);
+}
+
 bool FailoverController::IsFresh(const Watched& watched, absl::Time now) const {
   return watched.ever_answered &&
          now - watched.answered_at <= m_options.suspicion_after;
@@ -190,18 +238,25 @@
         m_primary->term == highest) {
       return;
     }
-    m_primary = PrimaryKnown{target, highest, "reported"};
-    m_lost = {};
-    actions->push_back(*m_primary);
+    TakePrimary({target, highest, "reported"}, now, actions);
     return;
   }
   if (m_primary && m_primary->term < highest) {
     LosePrimary("fenced", /*home_cut_off=*/false, actions);
     // Another decider may be about to promote; give it time to finish.
     BackOff("newer_term", now, actions);
+  } else if (m_primary && HasLostRole(m_targets[m_primary->target])) {
+    LosePrimary("role_lost", /*home_cut_off=*/false, actions);
+    BackOff("role_lost", now, actions);
   }
 }
 
+bool FailoverController::HasLostRole(const Watched& primary) const {
+  // An answer that was asked for earlier may date from before the promotion.
+  return !primary.status.primary && primary.status.term == m_primary->term &&
+         primary.asked_at > m_primary_since;
+}
+
 void FailoverController::LosePrimary(absl::string_view reason,
                                      bool home_cut_off,
                                      std::vector<FailoverAction>* actions) {
@@ -250,6 +305,7 @@
     return;
   }
   if (m_primary && IsFresh(m_targets[m_primary->target], now)) {
+    ConsiderReplacement(now, actions);
     return;
   }
   if (now - m_watching_since < m_options.suspicion_after) {
@@ -279,9 +335,84 @@
   }
 }
 
+void FailoverController::ConsiderReplacement(
+    absl::Time now,
+    std::vector<FailoverAction>* actions) {
+  // The replicas of a new primary need some time to find it.
+  if (now - m_primary_since >= 2 * m_options.suspicion_after &&
+      MajorityOfReplicasMissPrimary(now)) {
+    // It answers here but can confirm nothing.
+    StartFencing("primary_cut_off", now, actions);
+    return;
+  }
+  m_suspect = m_primary->target;
+  if (!m_targets[m_primary->target].status.leaving || now < m_next_handover ||
+      FindSuccessor(now) == nullptr) {
+    return;
+  }
+  m_phase = Phase::kDraining;
+  m_phase_ends = now + m_options.drain_limit;
+  m_drain_end = m_targets[m_suspect].status.last;
+  m_drain_quiet_since = now;
+  actions->push_back(PromotionStep{"drain", "primary_leaving", HighestTerm()});
+  LosePrimary("primary_leaving", /*home_cut_off=*/false, actions);
+  OnPrimaryDoubted(now, actions);
+}
+
+const FailoverController::Watched* FailoverController::FindSuccessor(
+    absl::Time now) const {
+  const Watched* best = nullptr;
+  for (const auto& [target, watched] : m_targets) {
+    const bool fit = target != m_suspect && !watched.status.primary &&
+                     !watched.status.leaving && IsFresh(watched, now) &&
+                     watched.status.primary_silent < m_options.suspicion_after;
+    if (fit && (best == nullptr || best->status.last < watched.status.last)) {
+      best = &watched;
+    }
+  }
+  return best;
+}
+
+void FailoverController::ConsiderHandover(
+    absl::Time now,
+    std::vector<FailoverAction>* actions) {
+  const Watched& leaving = m_targets[m_suspect];
+  if (leaving.status.last != m_drain_end) {
+    m_drain_end = leaving.status.last;
+    m_drain_quiet_since = now;
+  }
+  const Watched* successor = FindSuccessor(now);
+  const bool caught_up =
+      successor != nullptr && successor->status.last >= m_drain_end;
+  const bool quiet =
+      leaving.asked_at - m_drain_quiet_since >= m_options.drain_quiet;
+  if (caught_up && (quiet || now >= m_phase_ends)) {
+    StartFencing("primary_leaving", now, actions);
+  } else if (now >= m_phase_ends) {
+    // Service goes on at the leaving primary until a replica catches up.
+    m_next_handover = now + 2 * m_options.suspicion_after;
+    m_phase = Phase::kWatching;
+    m_suspect.clear();
+    AdoptReportedPrimary(now, actions);
+  }
+}
+
+TargetId FailoverController::LatestPrimary() const {
+  const std::pair<const TargetId, Watched>* latest = nullptr;
+  for (const auto& row : m_targets) {
+    if (row.second.status.primary &&
+        (latest == nullptr ||
+         latest->second.status.term < row.second.status.term)) {
+      latest = &row;
+    }
+  }
+  return latest == nullptr ? TargetId() : latest->first;
+}
+
 void FailoverController::StartFencing(absl::string_view reason,
                                       absl::Time now,
                                       std::vector<FailoverAction>* actions) {
+  m_suspect = LatestPrimary();
   LosePrimary(reason, /*home_cut_off=*/false, actions);
   m_attempt_term = HighestTerm() + 1;
   m_grants.clear();
--- a/Source/decision/failover_controller.h
+++ b/Source/decision/failover_controller.h
@@ -1,4 +1,4 @@
-// Watches the targets of one group and replaces a failed primary.
+// Watches the targets of one group and replaces a failed or leaving primary.
 //
 // Any instance may run a controller for a group at any time. Safety comes
 // from the targets: a term is granted once, to one decider, and a promotion
@@ -66,7 +66,7 @@
 
 // A promotion has begun or has failed; for the log.
 struct PromotionStep {
-  absl::string_view step;  // "suspect", "fence", "promote", "back_off"
+  absl::string_view step;  // "drain", "fence", "promote", "back_off"
   absl::string_view reason;
   uint64_t term = 0;
 };
@@ -86,6 +86,10 @@
   absl::Duration fence_timeout = absl::Milliseconds(500);
   absl::Duration lowest_back_off = absl::Milliseconds(100);
   absl::Duration highest_back_off = absl::Milliseconds(400);
+  // A leaving primary gets no new work for up to `drain_limit` before it is
+  // replaced; less when its log has not grown for `drain_quiet`.
+  absl::Duration drain_limit = absl::Milliseconds(500);
+  absl::Duration drain_quiet = absl::Milliseconds(100);
 };
 
 class FailoverController {
@@ -128,12 +132,13 @@
   const std::optional<PrimaryKnown>& Primary() const { return m_primary; }
 
  private:
-  enum class Phase { kWatching, kFencing, kPromoting, kBackingOff };
+  enum class Phase { kWatching, kDraining, kFencing, kPromoting, kBackingOff };
 
   struct Watched {
     TargetStatus status;
     bool ever_answered = false;
     absl::Time answered_at = absl::InfinitePast();
+    absl::Time asked_at = absl::InfinitePast();
     absl::Time next_read = absl::InfinitePast();
     bool read_outstanding = false;
   };
@@ -141,6 +146,16 @@
   size_t Majority() const { return m_targets.size() / 2 + 1; }
   bool IsFresh(const Watched& watched, absl::Time now) const;
   uint64_t HighestTerm() const;
+  void ReadStatus(const TargetId& target,
+                  Watched* watched,
+                  absl::Time now,
+                  std::vector<FailoverAction>* actions);
+  void TakePrimary(const PrimaryKnown& primary,
+                   absl::Time now,
+                   std::vector<FailoverAction>* actions);
+  // Whether the known primary, still in its term, no longer leads, as after
+  // a restart.
+  bool HasLostRole(const Watched& primary) const;
   void AdoptReportedPrimary(absl::Time now,
                             std::vector<FailoverAction>* actions);
   void LosePrimary(absl::string_view reason,
@@ -152,6 +167,16 @@
   // A replica has heard the primary well after this instance last did.
   bool ReplicaHearsPrimary(absl::Time now) const;
   void ConsiderPromotion(absl::Time now, std::vector<FailoverAction>* actions);
+  // Replaces a primary that answers but is cut off from its replicas, or is
+  // leaving.
+  void ConsiderReplacement(absl::Time now,
+                           std::vector<FailoverAction>* actions);
+  // The most advanced replica that may replace a leaving primary, or null.
+  const Watched* FindSuccessor(absl::Time now) const;
+  // While draining: starts the promotion once a successor has caught up.
+  void ConsiderHandover(absl::Time now, std::vector<FailoverAction>* actions);
+  // The last target that reported to lead, or empty.
+  TargetId LatestPrimary() const;
   void StartFencing(absl::string_view reason,
                     absl::Time now,
                     std::vector<FailoverAction>* actions);
@@ -165,10 +190,10 @@
   bool m_active = true;
   std::map<TargetId, Watched> m_targets;
   std::optional<PrimaryKnown> m_primary;
+  absl::Time m_primary_since = absl::InfinitePast();
   // Whether PrimaryLost was the latest report, and its home_cut_off.
   std::pair<bool, bool> m_lost;
   absl::Time m_watching_since = absl::InfinitePast();
-  absl::Time m_no_primary_since = absl::InfiniteFuture();
 
   Phase m_phase = Phase::kWatching;
   absl::Time m_phase_ends = absl::InfiniteFuture();
@@ -176,6 +201,15 @@
   // answer to an older attempt cannot be mistaken for one to this.
   uint64_t m_attempt_term = 0;
   std::map<TargetId, Position> m_grants;
+  // The primary to be replaced. It is chosen again only when the grants are
+  // no majority without it: its log is often the longest, by entries that it
+  // could not replicate.
+  TargetId m_suspect;
+
+  // While draining: end of the leaving primary's log, and since when.
+  Position m_drain_end;
+  absl::Time m_drain_quiet_since = absl::InfinitePast();
+  absl::Time m_next_handover = absl::InfinitePast();
 };
 
 }  // namespace heatherwick
--- a/Tests/decision/failover_controller_test.cc
+++ b/Tests/decision/failover_controller_test.cc
@@ -25,6 +25,32 @@
     m_controller.OnStatus(target, status, m_now, &m_actions);
   }
 
+  void Report(const TargetId& target, const TargetStatus& status) {
+    m_controller.OnStatus(target, status, m_now, &m_actions);
+  }
+
+  static TargetStatus StatusOf(uint64_t term, bool primary, uint64_t lsn) {
+    TargetStatus status;
+    status.term = term;
+    status.primary = primary;
+    status.last = {1, lsn};
+    return status;
+  }
+
+  // Advances the time in steps of 50 ms while the targets report the same.
+  void RunWith(absl::Duration duration,
+               const TargetStatus& a,
+               const TargetStatus& b,
+               const TargetStatus& c) {
+    for (const absl::Time end = m_now + duration; m_now < end;) {
+      m_now += absl::Milliseconds(50);
+      m_controller.OnTick(m_now, &m_actions);
+      Report("a", a);
+      Report("b", b);
+      Report("c", c);
+    }
+  }
+
   // Advances the time in steps of 50 ms; "a" answers until it is dead, and
   // the replicas report how long they have not heard it.
   void Run(absl::Duration duration, bool home_hears, bool replicas_hear) {
@@ -98,5 +124,109 @@
   CHECK((lost == nullptr || !lost->home_cut_off));
 }
 
+// Guards against a group without service for ever: a decider fenced one
+// replica and crashed, and the primary's term is no longer the highest.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_MinorityFenced_StartsHigherTerm") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  RunWith(absl::Seconds(1), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(2, false, 10));
+  const auto* fence = Last<FenceTarget>();
+  REQUIRE(fence != nullptr);
+  CHECK(fence->term >= 3);
+}
+
+// Guards against a primary that this instance hears but its replicas do not:
+// it confirms nothing, and its log is the longest by what it could not
+// replicate.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryCutOffFromReplicas_ReplacesIt") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  TargetStatus silent = StatusOf(1, false, 10);
+  silent.primary_silent = absl::Milliseconds(1200);
+  RunWith(absl::Milliseconds(200), StatusOf(1, true, 20), silent, silent);
+  const auto* fence = Last<FenceTarget>();
+  REQUIRE(fence != nullptr);
+  const uint64_t term = fence->term;
+  m_controller.OnFenceReply("a", term, true, term, {1, 20}, m_now, &m_actions);
+  m_controller.OnFenceReply("b", term, true, term, {1, 10}, m_now, &m_actions);
+  CHECK(Last<PromoteTarget>() == nullptr);
+  m_controller.OnFenceReply("c", term, true, term, {1, 11}, m_now, &m_actions);
+  REQUIRE(Last<PromoteTarget>() != nullptr);
+  CHECK(Last<PromoteTarget>()->target == "c");
+}
+
+// Guards against waiting for a primary that has restarted and leads no more,
+// while it still answers in its old term.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryLosesRoleInTerm_StartsPromotion") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  TargetStatus silent = StatusOf(1, false, 10);
+  silent.primary_silent = absl::Milliseconds(1200);
+  RunWith(absl::Seconds(1), silent, silent, silent);
+  CHECK(Last<FenceTarget>() != nullptr);
+}
+
+// Guards against a leaving primary that keeps its role until it is gone, and
+// against replacing it before a replica holds its whole log.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryLeaves_DrainsThenReplaces") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  TargetStatus leaving = StatusOf(1, true, 12);
+  leaving.leaving = true;
+  RunWith(absl::Milliseconds(300), leaving, StatusOf(1, false, 11),
+          StatusOf(1, false, 10));
+  REQUIRE(Last<PrimaryLost>() != nullptr);
+  CHECK(!Last<PrimaryLost>()->home_cut_off);
+  CHECK(Last<FenceTarget>() == nullptr);
+  RunWith(absl::Milliseconds(200), leaving, StatusOf(1, false, 12),
+          StatusOf(1, false, 10));
+  const auto* fence = Last<FenceTarget>();
+  REQUIRE(fence != nullptr);
+  const uint64_t term = fence->term;
+  m_controller.OnFenceReply("a", term, true, term, {1, 12}, m_now, &m_actions);
+  m_controller.OnFenceReply("b", term, true, term, {1, 12}, m_now, &m_actions);
+  m_controller.OnFenceReply("c", term, true, term, {1, 12}, m_now, &m_actions);
+  REQUIRE(Last<PromoteTarget>() != nullptr);
+  CHECK(Last<PromoteTarget>()->target != "a");
+}
+
+// Guards against a leaving primary without a replica that can follow: it has
+// to go on serving.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryLeavesReplicasBehind_GoesOn") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  TargetStatus leaving = StatusOf(1, true, 20);
+  leaving.leaving = true;
+  RunWith(absl::Seconds(1), leaving, StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  CHECK(Last<FenceTarget>() == nullptr);
+  REQUIRE(m_controller.Primary().has_value());
+  CHECK(m_controller.Primary()->target == "a");
+}
+
+// Guards against a majority of a group that the removed primary still counts
+// in, and against waiting for it.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryRemovedFromGroup_IsForgotten") {
+  RunWith(absl::Seconds(2), StatusOf(1, true, 10), StatusOf(1, false, 10),
+          StatusOf(1, false, 10));
+  m_controller.OnGroup({"b", "c"}, m_now);
+  CHECK(!m_controller.Primary().has_value());
+  m_now += absl::Milliseconds(300);
+  m_actions.clear();
+  m_controller.OnTick(m_now, &m_actions);
+  for (const FailoverAction& action : m_actions) {
+    if (const auto* read = std::get_if<ReadTargetStatus>(&action)) {
+      CHECK(read->target != "a");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace heatherwick
