decision: Keep statements of a new shape from the last slot for short work

Cause: a long statement whose shape was not known yet took a slot that is kept for short work; 15 shapes of 100 requests in a second are new for a while. Change: once 100 statements are learned, a statement of an unknown shape counts as long for the slots, but keeps its place in the queue.

--- a/Source/decision/duration_model.cc
+++ b/Source/decision/duration_model.cc
@@ -14,12 +14,15 @@
 constexpr absl::Duration kLowestMedian = absl::Microseconds(10);
 // A statement that runs this many times the median delays the rest.
 constexpr double kLongFactor = 8.0;
+// After this many statements a shape that is new is a rare one.
+constexpr uint64_t kWarm = 100;
 // Spread that is assumed for a shape before its second execution.
 constexpr double kUnknownSpread = 1.0;
 
 }  // namespace
 
 void DurationModel::Learn(uint64_t shape, absl::Duration ran_for) {
+  ++m_learned;
   m_median *= ran_for > m_median ? 1.0 + kMedianStep : 1.0 - kMedianStep;
   m_median = std::max(m_median, kLowestMedian);
   if (shape == 0) {
@@ -46,6 +49,10 @@
   return {found->second.mean, found->second.mean + 2 * found->second.deviation};
 }
 
+bool DurationModel::IsUnknown(uint64_t shape) const {
+  return shape != 0 && m_learned >= kWarm && !m_shapes.contains(shape);
+}
+
 bool DurationModel::IsLong(absl::Duration duration) const {
   return duration > m_median * kLongFactor;
 }
--- a/Source/decision/duration_model.h
+++ b/Source/decision/duration_model.h
@@ -19,6 +19,9 @@
 
   DurationEstimate Estimate(uint64_t shape) const;
   bool IsLong(absl::Duration duration) const;
+  // The shape has not run yet, while enough others have to expect better of
+  // most statements.
+  bool IsUnknown(uint64_t shape) const;
   // Running median over all statements.
   absl::Duration Typical() const { return m_median; }
 
@@ -28,6 +31,7 @@
     absl::Duration deviation;
   };
 
+  uint64_t m_learned = 0;  // Statements.
   absl::Duration m_median = absl::Milliseconds(5);
   absl::flat_hash_map<uint64_t, Learned> m_shapes;
 };
--- a/Source/decision/pending_request.h
+++ b/Source/decision/pending_request.h
@@ -30,6 +30,9 @@
   absl::Time latest_start;
   DurationEstimate estimate;
   bool is_long = false;  // Expected to run many times longer than the rest.
+  // Of a new shape: may turn out to be long, and is kept from the last slot
+  // for short work as if it were.
+  bool may_be_long = false;
   // Target that refused the request last, and when.
   TargetId refused_by;
   absl::Time refused_at = absl::InfinitePast();
--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -155,6 +155,8 @@
   pending->arrived = now;
   pending->estimate = m_durations.Estimate(request.shape);
   pending->is_long = m_durations.IsLong(pending->estimate.mean);
+  pending->may_be_long =
+      pending->is_long || m_durations.IsUnknown(request.shape);
   const bool writes = pending->request.request_class == RequestClass::kWrite;
   pending->latest_start = m_policies.admission->LatestStart(
       pending->request, pending->estimate,
@@ -339,8 +341,9 @@
       !primary->HasFreeSlot()) {
     return StartAnswer::kNotThisLane;
   }
-  if (pending.is_long && !MayRunLong(*primary, now)) {
-    return StartAnswer::kNotThisKind;
+  if (pending.may_be_long && !MayRunLong(*primary, now)) {
+    return pending.is_long ? StartAnswer::kNotThisKind
+                           : StartAnswer::kNotThisRequest;
   }
   // One connection is left to single statements.
   const uint32_t share = primary->Rules().connections;
@@ -414,8 +417,8 @@
       }
       continue;
     }
-    const bool slot =
-        target->HasFreeSlot() && (!pending.is_long || MayRunLong(*target, now));
+    const bool slot = target->HasFreeSlot() &&
+                      (!pending.may_be_long || MayRunLong(*target, now));
     if (slot && !target->HasFreeConnection()) {
       m_short_of_connections.push_back(target.get());
     }
@@ -466,7 +469,7 @@
     m_transactions[request.transaction] = {
         choice.target, choice.connection, m_term, {}};
   }
-  choice.target->Start(choice.connection, request, pending->is_long, now);
+  choice.target->Start(choice.connection, request, pending->may_be_long, now);
   m_policies.queue->Charge(*pending, pending->estimate.mean);
   ++m_running;
   actions->push_back(StartStatement{request.id, choice.target->Id(),
