load: Count a caller's demand with the round trips that it had

Cause: the demand of a caller was computed with the mean round trip, although its reads went mostly to the replica in the home's data centre, and work that arrived before the window was missing from the service. A caller whose requests were all done was reported with 94%. Change: service and demand both come from the outcomes of the requests that arrive in the window; a refused transaction counts with all its statements.

--- a/Source/load/simulation.cc
+++ b/Source/load/simulation.cc
@@ -310,11 +310,16 @@
 
 void Simulation::EndStatement(Live live, OutcomeKind kind) {
   Outcome& outcome = m_outcomes[live.outcome];
+  const bool late =
+      kind == OutcomeKind::kDone && m_events.Now() > live.request.deadline;
   outcome.ended = SinceStart();
-  outcome.kind =
-      kind == OutcomeKind::kDone && m_events.Now() > live.request.deadline
-          ? OutcomeKind::kLate
-          : kind;
+  outcome.kind = late ? OutcomeKind::kLate : kind;
+  if (outcome.kind != OutcomeKind::kDone) {
+    const std::vector<PlannedStatement>& all = live.planned->statements;
+    for (size_t index = live.statement; index < all.size(); ++index) {
+      outcome.missed += all[index].service + 2 * m_experiment.remote_latency;
+    }
+  }
   ContinueTransaction(live, kind == OutcomeKind::kDone);
 }
 
--- a/Source/load/simulation.h
+++ b/Source/load/simulation.h
@@ -51,6 +51,9 @@
   absl::Duration started = absl::InfiniteDuration();  // The last start.
   absl::Duration ended = absl::InfiniteDuration();
   absl::Duration occupancy;  // Time that it held a slot in its last run.
+  // Slot time of this statement and of those that were to follow in its
+  // transaction, when it was not done.
+  absl::Duration missed;
   bool at_primary = false;
   uint32_t starts = 0;
   // An order that was refused while the primary ran a read that accepts age.
