load: Report refusal delays, slot use and unfinished long work

Cause: the table did not show whether refusals are said early, whether slots are exceeded, and whether long work still ends. Change: three more rows.

--- a/Source/load/measurement.cc
+++ b/Source/load/measurement.cc
@@ -1,6 +1,7 @@
 #include "Source/load/measurement.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Source/load/simulation.h"
 #include "Source/load/workload.h"
@@ -129,6 +130,29 @@
   return seconds;
 }
 
+absl::Duration Quantile(std::vector<absl::Duration> values, double quantile) {
+  if (values.empty()) {
+    return absl::ZeroDuration();
+  }
+  const auto place =
+      values.begin() +
+      static_cast<ptrdiff_t>(static_cast<double>(values.size() - 1) * quantile);
+  std::nth_element(values.begin(), place, values.end());
+  return *place;
+}
+
+std::vector<absl::Duration> RefusalDelays(const std::vector<Outcome>& outcomes,
+                                          Window window) {
+  std::vector<absl::Duration> delays;
+  for (const Outcome& outcome : outcomes) {
+    if (outcome.kind == OutcomeKind::kRefused &&
+        window.Contains(outcome.arrived)) {
+      delays.push_back(outcome.ended - outcome.arrived);
+    }
+  }
+  return delays;
+}
+
 void MeasureSwing(const Experiment& experiment,
                   const SchedulerOptions& policies,
                   Figures* figures) {
@@ -157,6 +181,10 @@
     figures->orders_refused_beside_browsing +=
         outcome.refused_beside_browsing ? 1 : 0;
   }
+  const std::vector<absl::Duration> delays =
+      RefusalDelays(result.outcomes, at_peak);
+  figures->refusal_p50 = Quantile(delays, 0.5);
+  figures->refusal_p99 = Quantile(delays, 0.99);
   figures->most_statements = result.most_statements;
   figures->swing = SwingSeconds(result.outcomes, LengthOf(phases));
 }
@@ -168,13 +196,7 @@
       waits.push_back(outcome.started - outcome.arrived);
     }
   }
-  if (waits.empty()) {
-    return absl::ZeroDuration();
-  }
-  const auto p99 =
-      waits.begin() + static_cast<ptrdiff_t>(waits.size() * 99 / 100);
-  std::nth_element(waits.begin(), p99, waits.end());
-  return *p99;
+  return Quantile(std::move(waits), 0.99);
 }
 
 void MeasureLongWork(const Experiment& experiment,
@@ -303,6 +325,7 @@
 Figures Measure(const Experiment& experiment,
                 const SchedulerOptions& policies) {
   Figures figures;
+  figures.slots = experiment.slots;
   MeasureSwing(experiment, policies, &figures);
   MeasureLongWork(experiment, policies, &figures);
   MeasureRush(experiment, policies, &figures);
--- a/Source/load/measurement.h
+++ b/Source/load/measurement.h
@@ -34,12 +34,16 @@
   double short_wait_ratio = 0;
   uint32_t long_unfinished = 0;  // Long statements refused at steady load.
   uint32_t short_unfinished = 0;
+  // Time from a request's arrival at the peak to its refusal.
+  absl::Duration refusal_p50;
+  absl::Duration refusal_p99;
   // Slot time that the worst-off caller received over the lesser of its
   // demand and its share, while another caller rushes.
   double worst_caller_service = 0;
   absl::Duration gap_idle;
   absl::Duration gap_full_load;
   uint32_t most_statements = 0;  // At one target at the same time.
+  uint32_t slots = 0;            // Of a target.
   std::vector<SwingSecond> swing;
 };
 
