decision: Let a caller use its whole part of the queue

Cause: with the queue half full a caller was refused at half of its part, so requests were refused that its share would have served in time. Change: the limit is the caller's share of max_queued.

--- a/Source/decision/deadline_admission.cc
+++ b/Source/decision/deadline_admission.cc
@@ -27,8 +27,7 @@
     return true;
   }
   return load.queued >= load.max_queued * kLentQueueShare &&
-         load.ahead.own_queued >= load.max_queued * load.ahead.share_fraction *
-                                      (1.0 - kLentQueueShare);
+         load.ahead.own_queued >= load.max_queued * load.ahead.share_fraction;
 }
 
 }  // namespace
