decision: Refuse early by the rate at which a class is served

Cause: current reads were admitted by the caller's fair part of the slots, although writes took it, and were refused only at their deadline. Change: ServiceRate keeps the smoothed rate of each caller and class while it is backlogged; deadline admission uses the longer of both waits, except in the first second after the primary changed, when a queue has to drain first.

--- a/Source/decision/admission_policy.h
+++ b/Source/decision/admission_policy.h
@@ -17,6 +17,9 @@
 struct AdmissionLoad {
   WorkAhead ahead;
   uint32_t slots = 0;  // Of the targets that can serve the request; may be 0.
+  // The request's lane was served all the time of late, so that the observed
+  // wait says what to expect.
+  bool served_steadily = false;
   uint32_t queued = 0;
   uint32_t max_queued = 0;
 };
--- a/Source/decision/deadline_admission.cc
+++ b/Source/decision/deadline_admission.cc
@@ -18,8 +18,11 @@
   // Fairness serves a caller at least at its own rate; when the others leave
   // early, at the rate of all slots.
   const double slots = std::max(1U, load.slots);
-  return std::min(load.ahead.own / (slots * load.ahead.own_fraction),
-                  load.ahead.total / slots);
+  const absl::Duration fair =
+      std::min(load.ahead.own / (slots * load.ahead.own_fraction),
+               load.ahead.total / slots);
+  // Classes of higher priority may leave less than the fair part.
+  return load.served_steadily ? std::max(fair, load.ahead.observed_wait) : fair;
 }
 
 bool QueueFull(const AdmissionLoad& load) {
--- a/Source/decision/fair_priority_queue.cc
+++ b/Source/decision/fair_priority_queue.cc
@@ -107,6 +107,10 @@
         std::max(service.virtual_time, m_virtual_time[IndexOf(lane)]);
   }
   ++caller.queued;
+  m_now = std::max(m_now, pending->arrived);
+  if (caller.class_queued[class_index]++ == 0) {
+    caller.rates[class_index].OnBacklog(m_now);
+  }
   ++m_queued[IndexOf(lane)];
   caller.work[class_index] += pending->estimate.mean;
   m_work[class_index] += pending->estimate.mean;
@@ -120,6 +124,9 @@
   CallerState& caller = *bucket.caller;
   --caller.lanes[IndexOf(lane)].queued;
   --caller.queued;
+  if (--caller.class_queued[class_index] == 0) {
+    caller.rates[class_index].OnEmpty();
+  }
   --m_queued[IndexOf(lane)];
   caller.work[class_index] -= pending->estimate.mean;
   m_work[class_index] -= pending->estimate.mean;
@@ -157,6 +164,7 @@
 }
 
 PendingRequest* FairPriorityQueue::Next(absl::Time now, CanStart can_start) {
+  m_now = now;
   RankBuckets(now);
   std::array<bool, kLaneCount> lane_closed{};
   std::array<std::array<bool, 4>, kClasses> kind_closed{};
@@ -189,11 +197,16 @@
 void FairPriorityQueue::Charge(const PendingRequest& pending,
                                absl::Duration service) {
   CallerState& caller = CallerOf(pending.request.caller);
+  if (service > absl::ZeroDuration()) {
+    caller.rates[IndexOf(pending.request.request_class)].OnServed(service,
+                                                                  m_now);
+  }
   caller.lanes[IndexOf(pending.GetLane())].virtual_time +=
       service * VirtualPerService(caller);
 }
 
-WorkAhead FairPriorityQueue::AheadOf(const PendingRequest& pending) const {
+WorkAhead FairPriorityQueue::AheadOf(const PendingRequest& pending,
+                                     absl::Time now) const {
   WorkAhead ahead;
   const CallerState* own = FindCaller(pending.request.caller);
   const size_t lane = IndexOf(pending.GetLane());
@@ -211,6 +224,9 @@
   }
   const double share = own == nullptr ? 1.0 : own->share;
   ahead.own_fraction = share / static_cast<double>(active_shares);
+  if (own != nullptr) {
+    ahead.observed_wait = own->rates[last].WaitFor(own->work[last], now);
+  }
   ahead.own_queued = own == nullptr ? 0 : own->queued;
   ahead.share_fraction =
       share / static_cast<double>(std::max<uint64_t>(1, m_share_sum));
--- a/Source/decision/fair_priority_queue.h
+++ b/Source/decision/fair_priority_queue.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "Source/decision/queue_policy.h"
+#include "Source/decision/service_rate.h"
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 
@@ -27,7 +28,8 @@
   void Remove(PendingRequest* pending) override;
   PendingRequest* Next(absl::Time now, CanStart can_start) override;
   void Charge(const PendingRequest& pending, absl::Duration service) override;
-  WorkAhead AheadOf(const PendingRequest& pending) const override;
+  WorkAhead AheadOf(const PendingRequest& pending,
+                    absl::Time now) const override;
   uint32_t Queued(Lane lane) const override;
   uint32_t SlotsForLongWork(uint32_t slots) const override;
 
@@ -43,6 +45,8 @@
     uint32_t queued = 0;
     std::array<LaneService, kLaneCount> lanes;
     std::array<absl::Duration, kClasses> work;  // Queued, in slot time.
+    std::array<uint32_t, kClasses> class_queued{};
+    std::array<ServiceRate, kClasses> rates;
   };
   // Requests of one caller that can replace each other, by sequence.
   struct Bucket {
@@ -95,6 +99,7 @@
   absl::flat_hash_map<CallerName, std::unique_ptr<CallerState>> m_callers;
   absl::flat_hash_map<BucketKey, std::unique_ptr<Bucket>> m_buckets;
   std::vector<Bucket*> m_bucket_list;
+  absl::Time m_now = absl::InfinitePast();  // Of the last Next or Push.
   std::array<absl::Duration, kLaneCount> m_virtual_time;
   std::array<uint32_t, kLaneCount> m_queued{};
   std::array<absl::Duration, kClasses> m_work;
--- a/Source/decision/fifo_queue.cc
+++ b/Source/decision/fifo_queue.cc
@@ -52,7 +52,8 @@
 void FifoQueue::Charge(const PendingRequest& /*pending*/,
                        absl::Duration /*service*/) {}
 
-WorkAhead FifoQueue::AheadOf(const PendingRequest& pending) const {
+WorkAhead FifoQueue::AheadOf(const PendingRequest& pending,
+                             absl::Time /*now*/) const {
   const LaneQueue& lane = m_lanes[static_cast<size_t>(pending.GetLane())];
   WorkAhead ahead;
   ahead.own = lane.work;
--- a/Source/decision/fifo_queue.h
+++ b/Source/decision/fifo_queue.h
@@ -17,7 +17,8 @@
   void Remove(PendingRequest* pending) override;
   PendingRequest* Next(absl::Time now, CanStart can_start) override;
   void Charge(const PendingRequest& pending, absl::Duration service) override;
-  WorkAhead AheadOf(const PendingRequest& pending) const override;
+  WorkAhead AheadOf(const PendingRequest& pending,
+                    absl::Time now) const override;
   uint32_t Queued(Lane lane) const override;
   uint32_t SlotsForLongWork(uint32_t slots) const override;
 
--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -13,6 +13,9 @@
 // Covers the time that a pull and a status report take to arrive.
 constexpr absl::Duration kPositionMargin = absl::Milliseconds(5);
 
+// After a promotion the queue has to drain before its rate says anything.
+constexpr absl::Duration kSteadyAfter = absl::Seconds(1);
+
 bool IsStep(const ScheduledRequest& request) {
   return request.transaction != 0 && !request.begins_transaction;
 }
@@ -95,6 +98,9 @@
                                      uint64_t term,
                                      absl::Time now,
                                      Actions* actions) {
+  if (m_primary != primary) {
+    m_primary_since = now;
+  }
   m_primary = primary;
   if (primary.has_value()) {
     m_term = term;
@@ -167,7 +173,10 @@
 AdmissionLoad PolicyGroupScheduler::LoadFor(const PendingRequest& pending,
                                             absl::Time now) const {
   AdmissionLoad load;
-  load.ahead = m_policies.queue->AheadOf(pending);
+  load.ahead = m_policies.queue->AheadOf(pending, now);
+  load.served_steadily = pending.GetLane() == Lane::kPrimary &&
+                         m_primary.has_value() &&
+                         now >= m_primary_since + kSteadyAfter;
   load.slots = SlotsFor(pending, now);
   load.queued = m_expiry.size();
   load.max_queued = m_max_queued;
--- a/Source/decision/policy_group_scheduler.h
+++ b/Source/decision/policy_group_scheduler.h
@@ -169,6 +169,7 @@
   GroupRules m_rules;
   std::vector<std::unique_ptr<TargetState>> m_targets;
   std::optional<TargetId> m_primary;
+  absl::Time m_primary_since = absl::InfinitePast();
   uint64_t m_term = 0;  // Of the latest primary.
   absl::Duration m_commit_delay;
   DurationModel m_durations;
--- a/Source/decision/queue_policy.h
+++ b/Source/decision/queue_policy.h
@@ -24,8 +24,11 @@
 
 // Work that is expected to run before a request, in slot time.
 struct WorkAhead {
-  absl::Duration own;           // Of the request's caller.
-  absl::Duration total;         // Of all callers.
+  absl::Duration own;    // Of the request's caller.
+  absl::Duration total;  // Of all callers.
+  // By the rate at which requests of this caller and class were served
+  // recently; zero when there is no such experience.
+  absl::Duration observed_wait;
   double own_fraction = 1.0;    // Of the lane's slots that the caller is due.
   uint32_t own_queued = 0;      // Requests of the caller in any lane.
   double share_fraction = 1.0;  // Of all callers' shares, active or not.
@@ -56,7 +59,8 @@
   virtual void Charge(const PendingRequest& pending,
                       absl::Duration service) = 0;
 
-  virtual WorkAhead AheadOf(const PendingRequest& pending) const = 0;
+  virtual WorkAhead AheadOf(const PendingRequest& pending,
+                            absl::Time now) const = 0;
 
   // Requests that wait in the lane.
   virtual uint32_t Queued(Lane lane) const = 0;
