decision: Leave transaction steps out of the rate of the queue

Cause: steps of open transactions start before the queue, but their service counted for the rate at which queued writes are served, so the expected wait was too short and writes expired in the queue. Change: steps do not count for ServiceRate.

--- a/Source/decision/fair_priority_queue.cc
+++ b/Source/decision/fair_priority_queue.cc
@@ -197,7 +197,8 @@
 void FairPriorityQueue::Charge(const PendingRequest& pending,
                                absl::Duration service) {
   CallerState& caller = CallerOf(pending.request.caller);
-  if (service > absl::ZeroDuration()) {
+  // Transaction steps do not wait here and say nothing about the wait.
+  if (service > absl::ZeroDuration() && !pending.IsStep()) {
     caller.rates[IndexOf(pending.request.request_class)].OnServed(service,
                                                                   m_now);
   }
--- a/Source/decision/pending_request.h
+++ b/Source/decision/pending_request.h
@@ -37,6 +37,10 @@
   TargetId refused_by;
   absl::Time refused_at = absl::InfinitePast();
 
+  // A statement of a transaction that is open already.
+  bool IsStep() const {
+    return request.transaction != 0 && !request.begins_transaction;
+  }
   Lane GetLane() const {
     return request.request_class == RequestClass::kAgedRead ? Lane::kReplica
                                                             : Lane::kPrimary;
--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -16,10 +16,6 @@
 // After a promotion the queue has to drain before its rate says anything.
 constexpr absl::Duration kSteadyAfter = absl::Seconds(1);
 
-bool IsStep(const ScheduledRequest& request) {
-  return request.transaction != 0 && !request.begins_transaction;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<GroupScheduler>> GroupScheduler::Create(
@@ -141,7 +137,7 @@
   m_budget.OnRequest();
   m_positions.OnSeen(request.min_position, now);
   std::unique_ptr<PendingRequest> pending = MakePending(request, now);
-  if (IsStep(request)) {
+  if (pending->IsStep()) {
     AdmitStep(std::move(pending), now, actions);
   } else {
     Admit(std::move(pending), now, actions);
@@ -245,7 +241,7 @@
   if (m_expiry.erase({pending->latest_start, request.id}) == 0) {
     return;  // It was not waiting.
   }
-  if (!IsStep(request)) {
+  if (!pending->IsStep()) {
     m_policies.queue->Remove(pending);
     return;
   }
@@ -264,7 +260,7 @@
                                   Actions* actions) {
   actions->push_back(RefuseRequest{pending->request.id, kind, reason});
   const TransactionId transaction =
-      IsStep(pending->request) ? pending->request.transaction : 0;
+      pending->IsStep() ? pending->request.transaction : 0;
   Dequeue(pending);
   Release(pending);
   const auto found = m_transactions.find(transaction);
@@ -546,7 +542,7 @@
                                               TargetState* target,
                                               absl::Time now,
                                               Actions* actions) {
-  const bool is_step = IsStep(pending->request);
+  const bool is_step = pending->IsStep();
   const auto transaction = m_transactions.find(pending->request.transaction);
   if (is_step && transaction == m_transactions.end()) {
     Refuse(pending, ErrorKind::kTransactionLost, "transaction_ended", actions);
