--- /dev/null
+++ b/Tests/load/goals_test.cc
@@ -0,0 +1,67 @@
+// Checks the goals of docs/design.md, section 1.4, in virtual time for both
+// deployments. The bounds come from that section.
+
+#include "Source/load/goals.h"
+
+#include <string>
+
+#include "Source/load/experiment.h"
+#include "Source/load/measurement.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+constexpr double kWaitRatioGoal = 2.0;
+
+class DeploymentFixture {
+ protected:
+  // Runs the product's policies on the experiment of the deployment.
+  void Run(const std::string& name) {
+    const auto loaded = LoadExperiment(EXPERIMENTS_DIR "/" + name + ".yaml");
+    REQUIRE(Ok(loaded));
+    m_figures = Measure(ValueOf(loaded), ProductPolicies());
+  }
+
+  // All goals but the wait beside long work, which has its own tests.
+  void CheckGoals() const {
+    for (const GoalRow& row : CompareWithGoals(m_figures, m_figures)) {
+      if (row.measure.find("p99 wait") == std::string::npos) {
+        CHECK_MESSAGE(row.met, row.measure, " is ", row.product, ", goal ",
+                      row.goal);
+      }
+    }
+  }
+
+  Figures m_figures;
+};
+
+// These guard against a policy change that loses a goal: replica share,
+// goodput and order of refusals at the peak, fairness, failover gap, early
+// refusals, slots, long work that ends.
+TEST_CASE_FIXTURE(DeploymentFixture, "ProductPolicies_Gheata_MeetGoals") {
+  Run("gheata");
+  CheckGoals();
+}
+
+TEST_CASE_FIXTURE(DeploymentFixture, "ProductPolicies_Ballinacurra_MeetGoals") {
+  Run("ballinacurra");
+  CheckGoals();
+}
+
+// These guard against head-of-line blocking of short work behind long work.
+TEST_CASE_FIXTURE(DeploymentFixture,
+                  "ProductPolicies_GheataLongWork_KeepsShortWaitWithinTwice") {
+  Run("gheata");
+  CHECK(m_figures.short_wait_ratio <= kWaitRatioGoal);
+}
+
+TEST_CASE_FIXTURE(
+    DeploymentFixture,
+    "ProductPolicies_BallinacurraLongWork_KeepsShortWaitWithinTwice") {
+  Run("ballinacurra");
+  CHECK(m_figures.short_wait_ratio <= kWaitRatioGoal);
+}
+
+}  // namespace
+}  // namespace heatherwick
