--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -13,9 +13,8 @@
 // Covers the time that a pull and a status report take to arrive.
 constexpr absl::Duration kPositionMargin = absl::Milliseconds(5);
 
-bool IsStep(const ScheduledRequest& request) {
-  return request.transaction != 0 && !request.begins_transaction;
-}
+// After a promotion the queue has to drain before its rate says anything.
+constexpr absl::Duration kSteadyAfter = absl::Seconds(1);
 
 }  // namespace
 
@@ -95,6 +94,9 @@
                                      uint64_t term,
                                      absl::Time now,
                                      Actions* actions) {
+  if (m_primary != primary) {
+    m_primary_since = now;
+  }
   m_primary = primary;
   if (primary.has_value()) {
     m_term = term;
@@ -135,7 +137,7 @@
   m_budget.OnRequest();
   m_positions.OnSeen(request.min_position, now);
   std::unique_ptr<PendingRequest> pending = MakePending(request, now);
-  if (IsStep(request)) {
+  if (pending->IsStep()) {
     AdmitStep(std::move(pending), now, actions);
   } else {
     Admit(std::move(pending), now, actions);
@@ -155,6 +157,8 @@
   pending->arrived = now;
   pending->estimate = m_durations.Estimate(request.shape);
   pending->is_long = m_durations.IsLong(pending->estimate.mean);
+  pending->may_be_long =
+      pending->is_long || m_durations.IsUnknown(request.shape);
   const bool writes = pending->request.request_class == RequestClass::kWrite;
   pending->latest_start = m_policies.admission->LatestStart(
       pending->request, pending->estimate,
@@ -165,7 +169,10 @@
 AdmissionLoad PolicyGroupScheduler::LoadFor(const PendingRequest& pending,
                                             absl::Time now) const {
   AdmissionLoad load;
-  load.ahead = m_policies.queue->AheadOf(pending);
+  load.ahead = m_policies.queue->AheadOf(pending, now);
+  load.served_steadily = pending.GetLane() == Lane::kPrimary &&
+                         m_primary.has_value() &&
+                         now >= m_primary_since + kSteadyAfter;
   load.slots = SlotsFor(pending, now);
   load.queued = m_expiry.size();
   load.max_queued = m_max_queued;
@@ -234,7 +241,7 @@
   if (m_expiry.erase({pending->latest_start, request.id}) == 0) {
     return;  // It was not waiting.
   }
-  if (!IsStep(request)) {
+  if (!pending->IsStep()) {
     m_policies.queue->Remove(pending);
     return;
   }
@@ -253,7 +260,7 @@
                                   Actions* actions) {
   actions->push_back(RefuseRequest{pending->request.id, kind, reason});
   const TransactionId transaction =
-      IsStep(pending->request) ? pending->request.transaction : 0;
+      pending->IsStep() ? pending->request.transaction : 0;
   Dequeue(pending);
   Release(pending);
   const auto found = m_transactions.find(transaction);
@@ -339,8 +346,9 @@
       !primary->HasFreeSlot()) {
     return StartAnswer::kNotThisLane;
   }
-  if (pending.is_long && !MayRunLong(*primary, now)) {
-    return StartAnswer::kNotThisKind;
+  if (pending.may_be_long && !MayRunLong(*primary, now)) {
+    return pending.is_long ? StartAnswer::kNotThisKind
+                           : StartAnswer::kNotThisRequest;
   }
   // One connection is left to single statements.
   const uint32_t share = primary->Rules().connections;
@@ -414,8 +422,8 @@
       }
       continue;
     }
-    const bool slot =
-        target->HasFreeSlot() && (!pending.is_long || MayRunLong(*target, now));
+    const bool slot = target->HasFreeSlot() &&
+                      (!pending.may_be_long || MayRunLong(*target, now));
     if (slot && !target->HasFreeConnection()) {
       m_short_of_connections.push_back(target.get());
     }
@@ -466,7 +474,7 @@
     m_transactions[request.transaction] = {
         choice.target, choice.connection, m_term, {}};
   }
-  choice.target->Start(choice.connection, request, pending->is_long, now);
+  choice.target->Start(choice.connection, request, pending->may_be_long, now);
   m_policies.queue->Charge(*pending, pending->estimate.mean);
   ++m_running;
   actions->push_back(StartStatement{request.id, choice.target->Id(),
@@ -534,7 +542,7 @@
                                               TargetState* target,
                                               absl::Time now,
                                               Actions* actions) {
-  const bool is_step = IsStep(pending->request);
+  const bool is_step = pending->IsStep();
   const auto transaction = m_transactions.find(pending->request.transaction);
   if (is_step && transaction == m_transactions.end()) {
     Refuse(pending, ErrorKind::kTransactionLost, "transaction_ended", actions);
