--- a/Source/decision/membership.cc
+++ b/Source/decision/membership.cc
@@ -101,7 +101,16 @@
   }
   const OutstandingProbe outstanding = found->second;
   m_probes.erase(found);
-  OnProbe(responder, updates, now, actions);
+  RevertUnconfirmed(now, actions);
+  Apply(responder, "contact", now, actions);
+  for (const MemberRecord& update : updates) {
+    if (outstanding.wants_all) {
+      // Old news: passing the whole view on would delay fresh updates.
+      Learn(update, "joined", now, actions);
+    } else {
+      Apply(update, "update", now, actions);
+    }
+  }
   m_untried_candidates.erase(outstanding.member);
   if (!outstanding.relayed && responder.id != outstanding.member) {
     EndReplacedMember(outstanding.member, now, actions);
@@ -188,30 +197,39 @@
                        absl::string_view reason,
                        absl::Time now,
                        std::vector<MembershipAction>* actions) {
+  if (Learn(record, reason, now, actions)) {
+    m_updates.Add(record);
+  }
+}
+
+bool Membership::Learn(const MemberRecord& record,
+                       absl::string_view reason,
+                       absl::Time now,
+                       std::vector<MembershipAction>* actions) {
   if (record.id == m_self.id) {
     ApplyAboutSelf(record, actions);
-    return;
+    return false;
   }
   if (record.id.empty() || record.incarnation.empty() ||
       record.state == MemberState::kCandidate ||
       (record.state == MemberState::kSuspect && !IsLocal(record))) {
-    return;
+    return false;
   }
   const auto found = m_members.find(record.id);
   if (found != m_members.end() && !Supersedes(record, found->second.record)) {
-    return;
+    return false;
   }
   if (found == m_members.end() && record.state == MemberState::kDead) {
     // Kept against late updates, but no news to anyone.
     Store(record, now);
-    return;
+    return false;
   }
   const MemberState before = found == m_members.end()
                                  ? MemberState::kCandidate
                                  : found->second.record.state;
   Store(record, now);
-  m_updates.Add(record);
   actions->push_back(MemberChanged{record, before, reason});
+  return true;
 }
 
 void Membership::ApplyAboutSelf(const MemberRecord& record,
@@ -342,7 +360,7 @@
   send.want_all =
       !relayed && IsLocal(receiver) && m_periods <= m_options.join_periods;
   send.updates = TakeUpdates(receiver.id, receiver.incarnation);
-  m_probes[send.probe] = OutstandingProbe{member, relayed};
+  m_probes[send.probe] = OutstandingProbe{member, relayed, send.want_all};
   actions->push_back(std::move(send));
 }
 
@@ -495,7 +513,7 @@
   send.want_all = true;
   send.updates.push_back(m_self);
   // The member's name is unknown until it answers.
-  m_probes[send.probe] = OutstandingProbe{};
+  m_probes[send.probe] = OutstandingProbe{"", false, true};
   actions->push_back(std::move(send));
 }
 
--- a/Source/decision/membership.h
+++ b/Source/decision/membership.h
@@ -165,6 +165,7 @@
   struct OutstandingProbe {
     InstanceId member;  // The one under test.
     bool relayed = false;
+    bool wants_all = false;
   };
 
   using MemberMap = absl::btree_map<InstanceId, Entry>;
@@ -176,6 +177,12 @@
   bool IsLocal(const MemberRecord& record) const {
     return record.region == m_self.region;
   }
+  // Takes a record that is news and returns whether it was.
+  bool Learn(const MemberRecord& record,
+             absl::string_view reason,
+             absl::Time now,
+             std::vector<MembershipAction>* actions);
+  // Learns a record and passes it on.
   void Apply(const MemberRecord& record,
              absl::string_view reason,
              absl::Time now,
--- a/Source/decision/update_queue.cc
+++ b/Source/decision/update_queue.cc
@@ -8,25 +8,34 @@
 namespace heatherwick {
 
 void UpdateQueue::Add(const MemberRecord& record) {
-  m_pending[record.id] = Pending{record, 0};
+  m_pending[record.id] = Pending{record, 0, ++m_last_order};
 }
 
 void UpdateQueue::Take(size_t count,
                        size_t send_limit,
                        const InstanceId& except,
                        std::vector<MemberRecord>* out) {
-  std::vector<std::pair<size_t, InstanceId>> order;
-  order.reserve(m_pending.size());
+  struct Choice {
+    size_t sent;
+    uint64_t order;
+    InstanceId id;
+  };
+  std::vector<Choice> choices;
+  choices.reserve(m_pending.size());
   for (const auto& [id, pending] : m_pending) {
     if (id != except) {
-      order.emplace_back(pending.sent, id);
+      choices.push_back({pending.sent, pending.order, id});
     }
   }
-  count = std::min(count, order.size());
-  std::partial_sort(order.begin(),
-                    order.begin() + static_cast<ptrdiff_t>(count), order.end());
+  count = std::min(count, choices.size());
+  std::partial_sort(choices.begin(),
+                    choices.begin() + static_cast<ptrdiff_t>(count),
+                    choices.end(), [](const Choice& left, const Choice& right) {
+                      return left.sent != right.sent ? left.sent < right.sent
+                                                     : left.order > right.order;
+                    });
   for (size_t i = 0; i < count; ++i) {
-    const auto found = m_pending.find(order[i].second);
+    const auto found = m_pending.find(choices[i].id);
     out->push_back(found->second.record);
     if (++found->second.sent >= send_limit) {
       m_pending.erase(found);
--- a/Source/decision/update_queue.h
+++ b/Source/decision/update_queue.h
@@ -1,10 +1,11 @@
 // Member updates that wait to be passed on. Each is sent a bounded number of
-// times, the newest first.
+// times; those sent least often go first, the newest first among them.
 
 #ifndef SOURCE_DECISION_UPDATE_QUEUE_H_
 #define SOURCE_DECISION_UPDATE_QUEUE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "Source/base/types.h"
@@ -32,9 +33,11 @@
   struct Pending {
     MemberRecord record;
     size_t sent = 0;
+    uint64_t order = 0;  // Grows with each Add.
   };
 
   absl::btree_map<InstanceId, Pending> m_pending;
+  uint64_t m_last_order = 0;
 };
 
 }  // namespace heatherwick
