--- a/Source/decision/sheet_submission.cc
+++ b/Source/decision/sheet_submission.cc
@@ -35,7 +35,7 @@
   const SheetHead& current = m_stored.head;
   if (current.version > m_head.version) {
     // Superseded or lost: the history row of the own version tells.
-    return {absl::ZeroDuration(), ReadHistory{m_head.version}};
+    return {absl::ZeroDuration(), ReadHistoryRow{m_head.version}};
   }
   if (current.version == m_head.version) {
     return End(current.submission == m_head.submission
@@ -54,7 +54,7 @@
             StoreContent{SheetObjectName(m_head.content_hash)}};
   }
   if (!m_history_stored && current.version > 0) {
-    return {absl::ZeroDuration(), StoreHistory{current}};
+    return {absl::ZeroDuration(), StoreHistoryRow{current}};
   }
   return {absl::ZeroDuration(), ReplaceHead{m_stored.row_version, m_head}};
 }
--- a/Source/decision/sheet_submission.h
+++ b/Source/decision/sheet_submission.h
@@ -32,12 +32,12 @@
 
 // Write the history row of `head.version` unless it exists; answered by
 // OnHistoryStored.
-struct StoreHistory {
+struct StoreHistoryRow {
   SheetHead head;
 };
 
 // Read the history row of this version; answered by OnHistory.
-struct ReadHistory {
+struct ReadHistoryRow {
   uint64_t version = 0;
 };
 
@@ -67,8 +67,8 @@
   absl::Duration delay;
   std::variant<ReadStoredHead,
                StoreContent,
-               StoreHistory,
-               ReadHistory,
+               StoreHistoryRow,
+               ReadHistoryRow,
                ReplaceHead,
                SubmissionEnded>
       action;
--- a/Tests/decision/sheet_submission_test.cc
+++ b/Tests/decision/sheet_submission_test.cc
@@ -58,11 +58,11 @@
     if (std::holds_alternative<StoreContent>(step.action)) {
       return submission->OnContentStored(!m_down, m_now);
     }
-    if (const auto* history = std::get_if<StoreHistory>(&step.action)) {
+    if (const auto* history = std::get_if<StoreHistoryRow>(&step.action)) {
       m_history.emplace(history->head.version, history->head);
       return submission->OnHistoryStored(!m_down, m_now);
     }
-    if (const auto* read = std::get_if<ReadHistory>(&step.action)) {
+    if (const auto* read = std::get_if<ReadHistoryRow>(&step.action)) {
       return submission->OnHistory(m_history[read->version], m_now);
     }
     return PerformReplace(submission, std::get<ReplaceHead>(step.action));
