runtime: Wait for a write's end before the next one on a target stream

The reply to a statement can arrive before gRPC has reported the write of that statement as done, and the next statement then started a second write. gRPC aborted the process: 'proto_buffer_writer.h:65 assertion failed: !byte_buffer->Valid()'. The next statement now waits for OnWriteDone.

--- a/Source/runtime/grpc_target_connection.cc
+++ b/Source/runtime/grpc_target_connection.cc
@@ -60,16 +60,26 @@
   {
     absl::MutexLock lock(&m_mutex);
     if (!m_broken) {
-      m_request = std::move(request);
-      m_request.set_sequence(++m_sequence);
+      m_next_request = std::move(request);
+      m_next_request.set_sequence(++m_sequence);
+      m_has_next_request = true;
       m_done = std::move(done);
-      StartWrite(&m_request);
+      if (!m_writing) {
+        StartNextWrite();
+      }
       return;
     }
   }
   done(BrokenConnection("it was closed before the statement"));
 }
 
+void GrpcTargetConnection::StartNextWrite() {
+  m_request = std::move(m_next_request);
+  m_has_next_request = false;
+  m_writing = true;
+  StartWrite(&m_request);
+}
+
 void GrpcTargetConnection::Close() {
   Break();
 }
@@ -111,6 +121,12 @@
 void GrpcTargetConnection::OnWriteDone(bool ok) {
   if (!ok) {
     Break();
+    return;
+  }
+  absl::MutexLock lock(&m_mutex);
+  m_writing = false;
+  if (m_has_next_request && !m_broken) {
+    StartNextWrite();
   }
 }
 
--- a/Source/runtime/grpc_target_connection.h
+++ b/Source/runtime/grpc_target_connection.h
@@ -39,6 +39,7 @@
   void OnWriteDone(bool ok) override;
   void OnDone(const grpc::Status& status) override;
 
+  void StartNextWrite() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void OnOpenReply(const Result<proto::StatementReply>& result);
   void Break();
 
@@ -51,6 +52,12 @@
 
   absl::Mutex m_mutex;
   proto::StatementRequest m_request ABSL_GUARDED_BY(m_mutex);
+  // The reply to a statement can arrive before gRPC has reported its write
+  // as done; the next statement waits here until then, because gRPC allows
+  // one write at a time.
+  proto::StatementRequest m_next_request ABSL_GUARDED_BY(m_mutex);
+  bool m_has_next_request ABSL_GUARDED_BY(m_mutex) = false;
+  bool m_writing ABSL_GUARDED_BY(m_mutex) = false;
   uint64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
   Callback m_done ABSL_GUARDED_BY(m_mutex);  // Of the outstanding statement.
   TargetDriver::Opened m_opened ABSL_GUARDED_BY(m_mutex);
