--- a/Source/load/load_session.cc
+++ b/Source/load/load_session.cc
@@ -144,8 +144,7 @@
   // A read without an answer changes nothing: it failed.
   const RequestEnd end =
       outcome.end == RequestEnd::kUnknown ? RequestEnd::kFailed : outcome.end;
-  m_context.report->AddRequest("read/" + kind.name, end,
-                               outcome.reply.error_kind(),
+  m_context.report->AddRequest("read/" + kind.name, end, outcome.reply,
                                absl::Now() - arrival.due);
   if (end == RequestEnd::kDone) {
     m_context.report->AddServedRead(group, outcome.reply.served_by(),
@@ -237,7 +236,7 @@
 
 bool LoadSession::RunSteps(const LoadWrite& write,
                            const std::string& transaction,
-                           std::string* error_kind) {
+                           proto::ExecuteReply* failed) {
   const std::string pair = absl::StrCat(write.session);
   const std::pair<std::string, std::string> steps[] = {
       {absl::StrCat(MarkStatement(write), ";ADD pair_a:", pair, " 1"),
@@ -247,10 +246,9 @@
     proto::ExecuteRequest request = MakeRequest(proto::WRITE, write.group);
     request.set_transaction(transaction);
     request.set_statement(statement);
-    request.set_request_kind(m_context.options->once_kind);
     const Outcome outcome = Send(request);
     if (outcome.end != RequestEnd::kDone) {
-      *error_kind = outcome.reply.error_kind();
+      *failed = outcome.reply;
       return false;
     }
     if (!absl::StartsWith(outcome.reply.result(), result + ";")) {
@@ -262,11 +260,12 @@
   request.set_read_kind(m_context.options->CurrentKind()->name);
   request.set_statement("GET " + OnceRow(write.Name()));
   const Outcome outcome = Send(request);
-  *error_kind = outcome.reply.error_kind();
-  if (outcome.end == RequestEnd::kDone) {
-    Expect("read in transaction " + write.Name(), "1", outcome.reply);
+  if (outcome.end != RequestEnd::kDone) {
+    *failed = outcome.reply;
+    return false;
   }
-  return outcome.end == RequestEnd::kDone;
+  Expect("read in transaction " + write.Name(), "1", outcome.reply);
+  return true;
 }
 
 void LoadSession::RunTransaction(const LoadArrival& arrival) {
@@ -278,8 +277,7 @@
   if (outcome.end != RequestEnd::kDone) {
     // Without a handle nothing can run in it.
     outcome.end = RequestEnd::kNotRun;
-  } else if (!RunSteps(write, transaction,
-                       outcome.reply.mutable_error_kind())) {
+  } else if (!RunSteps(write, transaction, &outcome.reply)) {
     proto::ExecuteRequest request = MakeRequest(proto::ROLLBACK, group);
     request.set_transaction(transaction);
     Send(request);
@@ -304,8 +302,8 @@
                               absl::Time due) {
   const absl::Time now = absl::Now();
   m_context.ledger->Settle(write, StateOf(outcome.end), now);
-  m_context.report->AddRequest(request_class, outcome.end,
-                               outcome.reply.error_kind(), now - due);
+  m_context.report->AddRequest(request_class, outcome.end, outcome.reply,
+                               now - due);
   if (outcome.end == RequestEnd::kDone) {
     m_context.report->AddAcknowledgedWrite(write.group,
                                            outcome.reply.served_by(), now);
--- a/Source/load/load_session.h
+++ b/Source/load/load_session.h
@@ -51,10 +51,11 @@
   // others. Whether the write is known to be done or not run afterwards.
   Outcome Clarify(const proto::ExecuteRequest& request, const Outcome& first);
   void RunTransaction(const LoadArrival& arrival);
-  // Executes the steps before COMMIT; false when one failed.
+  // Executes the steps before COMMIT; false with the reply of one that
+  // failed.
   bool RunSteps(const LoadWrite& write,
                 const std::string& transaction,
-                std::string* error_kind);
+                proto::ExecuteReply* failed);
   void FinishWrite(const std::string& request_class,
                    const LoadWrite& write,
                    const Outcome& outcome,
--- a/Source/load/process_load_report.cc
+++ b/Source/load/process_load_report.cc
@@ -49,15 +49,17 @@
 
 void ProcessLoadReport::AddRequest(const std::string& request_class,
                                    RequestEnd end,
-                                   const std::string& error_kind,
+                                   const proto::ExecuteReply& reply,
                                    absl::Duration latency) {
   const absl::MutexLock lock(&m_mutex);
   ClassCounts& counts = m_classes[request_class];
   ++counts.ends[end];
   if (end == RequestEnd::kDone) {
     counts.done_latency.Add(latency);
-  } else if (!error_kind.empty()) {
-    ++m_errors[error_kind];
+  } else if (!reply.error_kind().empty()) {
+    ErrorCounts& errors = m_errors[reply.error_kind()];
+    ++errors.count;
+    errors.example = reply.error_message();
   }
 }
 
@@ -166,8 +168,9 @@
         group, Ms(gap.longest), absl::ToDoubleSeconds(gap.longest_at),
         gap.writes);
   }
-  for (const auto& [kind, count] : m_errors) {
-    absl::StrAppendFormat(&table, "error kind=%s count=%d\n", kind, count);
+  for (const auto& [kind, errors] : m_errors) {
+    absl::StrAppendFormat(&table, "error kind=%s count=%d example=%s\n", kind,
+                          errors.count, errors.example);
   }
   absl::StrAppendFormat(&table, "settled done=%d not_run=%d\n", m_settled_done,
                         m_settled_not_run);
@@ -200,7 +203,10 @@
         {"longest_gap_ends_at_s", absl::ToDoubleSeconds(gap.longest_at)},
         {"acknowledged_writes", gap.writes}};
   }
-  json["errors"] = m_errors;
+  for (const auto& [kind, errors] : m_errors) {
+    json["errors"][kind] = {{"count", errors.count},
+                            {"example", errors.example}};
+  }
   json["settled"] = {{"done", m_settled_done}, {"not_run", m_settled_not_run}};
   json["not_sent"] = m_not_sent;
   json["violation_count"] = m_violation_count;
--- a/Source/load/process_load_report.h
+++ b/Source/load/process_load_report.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Source/base/metrics.h"
+#include "Source/proto/proxy.pb.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
@@ -24,7 +25,7 @@
   // `request_class` is "write", "transaction" or "read/KIND".
   void AddRequest(const std::string& request_class,
                   RequestEnd end,
-                  const std::string& error_kind,
+                  const proto::ExecuteReply& reply,
                   absl::Duration latency);
   void AddNotSent();
   // A write was acknowledged; `target` is the group's primary.
@@ -56,6 +57,10 @@
     absl::Duration longest_at;  // Its end, since the start of the load.
     uint64_t writes = 0;
   };
+  struct ErrorCounts {
+    uint64_t count = 0;
+    std::string example;  // The last message.
+  };
   struct ReadCounts {
     uint64_t total = 0;
     uint64_t by_replica = 0;
@@ -69,7 +74,7 @@
   absl::Time m_started ABSL_GUARDED_BY(m_mutex);
   bool m_load_ended ABSL_GUARDED_BY(m_mutex) = false;
   std::map<std::string, ClassCounts> m_classes ABSL_GUARDED_BY(m_mutex);
-  std::map<std::string, uint64_t> m_errors ABSL_GUARDED_BY(m_mutex);
+  std::map<std::string, ErrorCounts> m_errors ABSL_GUARDED_BY(m_mutex);
   std::map<std::string, GroupGap> m_gaps ABSL_GUARDED_BY(m_mutex);
   std::map<std::string, ReadCounts> m_reads ABSL_GUARDED_BY(m_mutex);
   uint64_t m_not_sent ABSL_GUARDED_BY(m_mutex) = 0;
--- a/Tests/StandIns/target_service.cc
+++ b/Tests/StandIns/target_service.cc
@@ -182,7 +182,12 @@
                               const Statement& statement,
                               TargetSession* session,
                               proto::StatementReply* reply) {
-  m_slots.Acquire();
+  // Ending a transaction, also the one that a new connection may have, must
+  // not wait behind the statements that it would free.
+  const bool needs_slot = request.operation() != proto::ROLLBACK;
+  if (needs_slot) {
+    m_slots.Acquire();
+  }
   const absl::Time started = absl::Now();
   if (!statement.empty()) {
     absl::SleepFor(m_options.statement_time +
@@ -199,7 +204,9 @@
   }
   reply->set_ran_us(
       static_cast<uint32_t>(absl::ToInt64Microseconds(absl::Now() - started)));
-  m_slots.Release();
+  if (needs_slot) {
+    m_slots.Release();
+  }
 }
 
 grpc::Status TargetService::Status(grpc::ServerContext* context,
--- a/Tests/process/cluster.sh
+++ b/Tests/process/cluster.sh
@@ -261,6 +261,14 @@
     "--json=$WORK/load.json" "--seed=${SEED:-1}" "$@"
 }
 
+# Fails when a process that was started and not ended is gone.
+check_all_alive() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill -0 "${PID[$name]}" 2>/dev/null || fail "$name ended on its own"
+  done
+}
+
 # Fails when the load found any violation.
 finish_load() {
   local code=0
@@ -268,17 +276,18 @@
   unset "PID[load]"
   grep -v '^progress' "$WORK/load.log" || true
   [ "$code" = 0 ] || fail "the load ended with $code"
+  check_all_alive
 }
 
 # gap_below MS: the longest gap between acknowledged writes of each group.
 gap_below() {
   local gap
-  for gap in $(grep -o 'longest_ms=[0-9]*' "$WORK/load.log" | cut -d= -f2); do
+  while read -r gap; do
     [ "$gap" -lt "$1" ] || fail "a write gap of $gap ms reaches $1 ms"
-  done
+  done < <(grep -o 'longest_ms=[0-9]*' "$WORK/load.log" | cut -d= -f2)
 }
 
 error_count() {
   { grep "^error kind=$1 " "$WORK/load.log" || echo count=0; } |
-    sed 's/.*count=//'
+    sed 's/.*count=\([0-9]*\).*/\1/'
 }
--- a/Tests/process/kill_proxy_in_transaction.sh
+++ b/Tests/process/kill_proxy_in_transaction.sh
@@ -11,7 +11,7 @@
 
 step() {  # PROXY TRANSACTION OPERATION STATEMENT KEY
   call "${ADDRESS[$1]}" Proxy.Execute \
-    "{\"caller\":\"check\",\"group\":\"g1\",\"operation\":\"$3\",\"transaction\":\"$2\",\"statement\":\"$4\",\"request_kind\":\"order\",\"request_key\":\"$5\"}"
+    "{\"caller\":\"check\",\"group\":\"g1\",\"operation\":\"$3\",\"transaction\":\"$2\",\"statement\":\"$4\",\"request_key\":\"$5\"}"
 }
 
 start_ready_cluster 1 3
