failover: Replace a primary that its replicas cannot hear

A primary that was cut from its replicas but still heard by the home was never replaced: no write could be confirmed for as long as the cut lasted, without any bound. The controller now fences the group when a majority of the replicas has not heard the primary for the suspicion time, and does not promote that primary again, although its log may be the most advanced: what only it holds was never confirmed. A new primary gets twice the suspicion time to be found by its replicas.

--- a/Source/decision/failover_controller.cc
+++ b/Source/decision/failover_controller.cc
@@ -81,7 +81,9 @@
     return;
   }
   status.last = last;
-  m_grants[target] = last;
+  if (target != m_passed_over) {
+    m_grants[target] = last;
+  }
   if (m_grants.size() >= Majority()) {
     ChooseAndPromote(now, actions);
   }
@@ -107,9 +109,7 @@
   found->second.status.term = asked_term;
   found->second.answered_at = now;
   m_phase = Phase::kWatching;
-  m_primary = PrimaryKnown{target, asked_term, "promoted"};
-  m_lost = {};
-  actions->push_back(*m_primary);
+  SetPrimary({target, asked_term, "promoted"}, now, actions);
 }
 
 void FailoverController::OnTick(absl::Time now,
@@ -190,9 +190,7 @@
         m_primary->term == highest) {
       return;
     }
-    m_primary = PrimaryKnown{target, highest, "reported"};
-    m_lost = {};
-    actions->push_back(*m_primary);
+    SetPrimary({target, highest, "reported"}, now, actions);
     return;
   }
   if (m_primary && m_primary->term < highest) {
@@ -202,6 +200,15 @@
   }
 }
 
+void FailoverController::SetPrimary(const PrimaryKnown& primary,
+                                    absl::Time now,
+                                    std::vector<FailoverAction>* actions) {
+  m_primary = primary;
+  m_primary_since = now;
+  m_lost = {};
+  actions->push_back(primary);
+}
+
 void FailoverController::LosePrimary(absl::string_view reason,
                                      bool home_cut_off,
                                      std::vector<FailoverAction>* actions) {
@@ -226,6 +233,13 @@
   return missing >= others / 2 + 1;
 }
 
+bool FailoverController::PrimaryIsCutFromReplicas(absl::Time now) const {
+  // Replicas need time to find a new primary, and answers from before its
+  // promotion still report the silence of the old one.
+  return now - m_primary_since >= 2 * m_options.suspicion_after &&
+         MajorityOfReplicasMissPrimary(now);
+}
+
 bool FailoverController::ReplicaHearsPrimary(absl::Time now) const {
   // A replica that heard the primary about as late as this instance did says
   // nothing about the present.
@@ -249,7 +263,12 @@
   if (!m_active || m_targets.empty()) {
     return;
   }
+  m_passed_over.reset();
   if (m_primary && IsFresh(m_targets[m_primary->target], now)) {
+    if (PrimaryIsCutFromReplicas(now)) {
+      m_passed_over = m_primary->target;
+      StartFencing("primary_cut_from_replicas", now, actions);
+    }
     return;
   }
   if (now - m_watching_since < m_options.suspicion_after) {
--- a/Source/decision/failover_controller.h
+++ b/Source/decision/failover_controller.h
@@ -151,6 +151,12 @@
   bool MajorityOfReplicasMissPrimary(absl::Time now) const;
   // A replica has heard the primary well after this instance last did.
   bool ReplicaHearsPrimary(absl::Time now) const;
+  // This instance hears a primary that a majority of the replicas does not,
+  // so that no write can be confirmed.
+  bool PrimaryIsCutFromReplicas(absl::Time now) const;
+  void SetPrimary(const PrimaryKnown& primary,
+                  absl::Time now,
+                  std::vector<FailoverAction>* actions);
   void ConsiderPromotion(absl::Time now, std::vector<FailoverAction>* actions);
   void StartFencing(absl::string_view reason,
                     absl::Time now,
@@ -167,6 +173,7 @@
   std::optional<PrimaryKnown> m_primary;
   // Whether PrimaryLost was the latest report, and its home_cut_off.
   std::pair<bool, bool> m_lost;
+  absl::Time m_primary_since = absl::InfinitePast();
   absl::Time m_watching_since = absl::InfinitePast();
   absl::Time m_no_primary_since = absl::InfiniteFuture();
 
@@ -175,6 +182,10 @@
   // Of the attempt in progress. Every attempt takes a new term, so that an
   // answer to an older attempt cannot be mistaken for one to this.
   uint64_t m_attempt_term = 0;
+  // A primary that its replicas do not hear. It is fenced but not promoted
+  // again, although its log may be the most advanced: what only it holds was
+  // never confirmed.
+  std::optional<TargetId> m_passed_over;
   std::map<TargetId, Position> m_grants;
 };
 
--- a/Tests/decision/failover_controller_test.cc
+++ b/Tests/decision/failover_controller_test.cc
@@ -98,5 +98,35 @@
   CHECK((lost == nullptr || !lost->home_cut_off));
 }
 
+// Guards against writes that stay unconfirmed for as long as a primary is cut
+// from its replicas, while the home hears all of them; and against choosing
+// that primary again because of entries that were never confirmed.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_PrimaryCutFromReplicas_PassesItOver") {
+  Run(absl::Seconds(3), true, true);
+  Run(absl::Milliseconds(900), true, false);
+  CHECK(Last<FenceTarget>() == nullptr);
+  Run(absl::Milliseconds(200), true, false);
+  const auto* fence = Last<FenceTarget>();
+  REQUIRE(fence != nullptr);
+  m_controller.OnFenceReply("a", fence->term, true, 2, {1, 99}, m_now,
+                            &m_actions);
+  m_controller.OnFenceReply("b", fence->term, true, 2, {1, 10}, m_now,
+                            &m_actions);
+  CHECK(Last<PromoteTarget>() == nullptr);
+  m_controller.OnFenceReply("c", fence->term, true, 2, {1, 12}, m_now,
+                            &m_actions);
+  REQUIRE(Last<PromoteTarget>() != nullptr);
+  CHECK(Last<PromoteTarget>()->target == "c");
+}
+
+// Guards against fencing a new primary before its replicas have found it:
+// they still report the silence of the old one.
+TEST_CASE_FIXTURE(FailoverFixture,
+                  "FailoverController_NewPrimary_GetsTimeToBeFound") {
+  Run(absl::Milliseconds(1500), true, false);
+  CHECK(Last<FenceTarget>() == nullptr);
+}
+
 }  // namespace
 }  // namespace heatherwick
--- a/Tests/process/cut_primary.sh
+++ b/Tests/process/cut_primary.sh
@@ -29,7 +29,9 @@
 
 cut_off false
 say "cut $primary from its replicas"
-sleep 3
+sleep 5
+[ "$(primary_of g1)" != "$primary" ] ||
+  fail "$primary still leads although no replica hears it"
 heal
 say "healed"
 sleep 2
