load: Make the load of real proxies a subcommand of heatherwick-load

Cause: two programs, heatherwick-load and heatherwick-load-run, did one job. Change: run is a subcommand of heatherwick-load; the scripts use it. Measured: nothing to measure; the process tests use the new command.

--- a/Source/programs/heatherwick_load.cc
+++ b/Source/programs/heatherwick_load.cc
@@ -1,4 +1,4 @@
-// heatherwick-load: load experiments.
+// heatherwick-load: load experiments and loads of real proxies.
 
 #include <fstream>
 #include <iostream>
@@ -10,6 +10,7 @@
 #include "Source/load/experiment.h"
 #include "Source/load/goals.h"
 #include "Source/load/measurement.h"
+#include "Source/load/process_load_command.h"
 #include "Source/load/report.h"
 
 namespace heatherwick {
@@ -91,9 +92,13 @@
 };
 
 int Main(const std::vector<std::string>& arguments) {
+  if (!arguments.empty() && arguments.front() == "run") {
+    return RunProcessLoadCommand({arguments.begin() + 1, arguments.end()});
+  }
   Flags flags;
-  SettingsParser parser("heatherwick-load SUBCOMMAND [FILE]",
-                        "Runs load experiments: simulate FILE, decisions.");
+  SettingsParser parser(
+      "heatherwick-load SUBCOMMAND [FILE]",
+      "Runs load experiments: simulate FILE, decisions, run.");
   parser.AddBool("json", "print JSON instead of a table", &flags.json);
   parser.AddString("gnuplot", "FILE", "write the load swing for gnuplot",
                    &flags.gnuplot);
@@ -122,7 +127,7 @@
     }
   }
   return Fail({ErrorKind::kInvalidArgument, "no such subcommand",
-               "use one of: simulate, decisions"});
+               "use one of: simulate, decisions, run"});
 }
 
 }  // namespace
--- a/Tests/process/cluster.sh
+++ b/Tests/process/cluster.sh
@@ -16,7 +16,7 @@
 SLOTS=${SLOTS:-2}
 CONNECTIONS=${CONNECTIONS:-16}
 SHEET=$WORK/sheet.csv
-LOAD=$BUILD/Source/programs/heatherwick-load-run
+LOAD=$BUILD/Source/programs/heatherwick-load
 
 clean_up() {
   local name
@@ -255,7 +255,7 @@
   for proxy in "${PROXIES[@]}"; do
     addresses+=("${ADDRESS[$proxy]}")
   done
-  start load "$LOAD" "--proxies=$(join_by_comma "${addresses[@]}")" \
+  start load "$LOAD" run "--proxies=$(join_by_comma "${addresses[@]}")" \
     "--groups=$(join_by_comma "${GROUPS_OF_CLUSTER[@]}")" \
     --callers=shop:2,depot:1 "--duration=${seconds}s" \
     "--json=$WORK/load.json" "--seed=${SEED:-1}" "$@"
