runtime: Route a transaction's steps by the incarnation in its handle

An entry that had not yet heard from the transaction's home forwarded the steps with an empty incarnation; the home refused them as meant for an earlier process, and so also the ROLLBACK.

The refusal now names its reason.

--- a/Source/runtime/routed_request.cc
+++ b/Source/runtime/routed_request.cc
@@ -8,6 +8,7 @@
 #include "Source/proto/peer.grpc.pb.h"
 #include "Source/runtime/unary_call.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
 
 namespace heatherwick {
@@ -70,6 +71,12 @@
   return m_resolving ? "" : handle.substr(0, handle.find('/'));
 }
 
+std::string RoutedRequest::TransactionIncarnation() const {
+  const std::vector<std::string> parts =
+      absl::StrSplit(m_execute.transaction(), '/');
+  return parts.size() > 1 ? parts[1] : "";
+}
+
 const GroupName& RoutedRequest::Group() const {
   return m_resolving ? m_resolve.group() : m_execute.group();
 }
@@ -125,9 +132,11 @@
     m_context->members->ListMembers(&members);
     for (const proto::MemberUpdate& member : members.members()) {
       if (member.id() == transaction_home && member.state() != proto::DEAD) {
+        // The handle names the incarnation that runs the transaction; this
+        // instance may not have heard of it yet.
         m_candidates.push_back({member.id(), member.address(),
                                 member.data_centre(), member.region(),
-                                member.incarnation(), false});
+                                TransactionIncarnation(), false});
       }
     }
     if (m_candidates.empty()) {
@@ -239,8 +248,9 @@
     if (!TransactionHome().empty()) {
       FinishError(proto::NOT_RUN,
                   Error{ErrorKind::kTransactionLost,
-                        "the transaction's home was replaced; it was rolled "
-                        "back",
+                        absl::StrCat("the transaction's home did not take the "
+                                     "statement: ",
+                                     m_last_refusal),
                         "begin a new transaction"});
       return;
     }
--- a/Source/runtime/routed_request.h
+++ b/Source/runtime/routed_request.h
@@ -61,6 +61,7 @@
 
   // Instance that holds the request's transaction; empty without one.
   InstanceId TransactionHome() const;
+  std::string TransactionIncarnation() const;
   const GroupName& Group() const;
   const std::string& Token() const;
 
