--- a/Tests/process/cluster.sh
+++ b/Tests/process/cluster.sh
@@ -16,7 +16,7 @@
 SLOTS=${SLOTS:-2}
 CONNECTIONS=${CONNECTIONS:-16}
 SHEET=$WORK/sheet.csv
-LOAD=$BUILD/Source/programs/heatherwick-load-run
+LOAD=$BUILD/Source/programs/heatherwick-load
 
 clean_up() {
   local name
@@ -255,12 +255,20 @@
   for proxy in "${PROXIES[@]}"; do
     addresses+=("${ADDRESS[$proxy]}")
   done
-  start load "$LOAD" "--proxies=$(join_by_comma "${addresses[@]}")" \
+  start load "$LOAD" run "--proxies=$(join_by_comma "${addresses[@]}")" \
     "--groups=$(join_by_comma "${GROUPS_OF_CLUSTER[@]}")" \
     --callers=shop:2,depot:1 "--duration=${seconds}s" \
     "--json=$WORK/load.json" "--seed=${SEED:-1}" "$@"
 }
 
+# Fails when a process that was started and not ended is gone.
+check_all_alive() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill -0 "${PID[$name]}" 2>/dev/null || fail "$name ended on its own"
+  done
+}
+
 # Fails when the load found any violation.
 finish_load() {
   local code=0
@@ -268,17 +276,18 @@
   unset "PID[load]"
   grep -v '^progress' "$WORK/load.log" || true
   [ "$code" = 0 ] || fail "the load ended with $code"
+  check_all_alive
 }
 
 # gap_below MS: the longest gap between acknowledged writes of each group.
 gap_below() {
   local gap
-  for gap in $(grep -o 'longest_ms=[0-9]*' "$WORK/load.log" | cut -d= -f2); do
+  while read -r gap; do
     [ "$gap" -lt "$1" ] || fail "a write gap of $gap ms reaches $1 ms"
-  done
+  done < <(grep -o 'longest_ms=[0-9]*' "$WORK/load.log" | cut -d= -f2)
 }
 
 error_count() {
   { grep "^error kind=$1 " "$WORK/load.log" || echo count=0; } |
-    sed 's/.*count=//'
+    sed 's/.*count=\([0-9]*\).*/\1/'
 }
