runtime: Cache the ranking of a group's candidates

Change: the ranking is kept for each group until the member list or the sheet changes, and the reconciliation does its work only then. A step of a transaction whose home is lost is reported as not run, also when it carries a key: nothing commits it. Conclusion: the cost of routing no longer grows with the region's size.

--- a/Source/kernel/shard_map.h
+++ b/Source/kernel/shard_map.h
@@ -42,6 +42,12 @@
     return value;
   }
 
+  void Store(const Key& key, Pointer value) {
+    Shard& shard = ShardOf(key);
+    absl::MutexLock lock(&shard.mutex);
+    shard.values[key] = std::move(value);
+  }
+
   // Removes and returns the value; null when there is none.
   Pointer Remove(const Key& key) {
     Shard& shard = ShardOf(key);
--- a/Source/runtime/home_directory.cc
+++ b/Source/runtime/home_directory.cc
@@ -38,6 +38,23 @@
   return chosen;
 }
 
+std::vector<MemberInfo> Rank(const GroupName& group,
+                             const std::string& region,
+                             const std::vector<MemberInfo>& members) {
+  const std::vector<const MemberInfo*> chosen =
+      MembersOfRegion(members, region);
+  std::vector<PlacementCandidate> candidates;
+  candidates.reserve(chosen.size());
+  for (const MemberInfo* member : chosen) {
+    candidates.push_back({member->id, member->data_centre});
+  }
+  std::vector<MemberInfo> ranked;
+  for (const size_t index : RankCandidates(group, candidates, kCandidates)) {
+    ranked.push_back(*chosen[index]);
+  }
+  return ranked;
+}
+
 }  // namespace
 
 HomeDirectory::HomeDirectory(const HomeContext* context,
@@ -72,51 +89,64 @@
   return m_homes.Find(group);
 }
 
-std::vector<MemberInfo> HomeDirectory::Candidates(
-    const GroupName& group) const {
+HomeDirectory::Ranking HomeDirectory::Candidates(const GroupName& group) const {
   const SheetSnapshot snapshot = m_sheets->Current();
-  if (snapshot.sheet == nullptr) {
-    return {};
-  }
-  const auto row = snapshot.sheet->groups.find(group);
-  if (row == snapshot.sheet->groups.end()) {
-    return {};
-  }
-  const auto members = m_members->Members();
-  const std::vector<const MemberInfo*> region =
-      MembersOfRegion(*members, row->second.region);
-  std::vector<PlacementCandidate> candidates;
-  candidates.reserve(region.size());
-  for (const MemberInfo* member : region) {
-    candidates.push_back({member->id, member->data_centre});
+  const MemberList members = m_members->Members();
+  const auto cached = m_rankings.Find(group);
+  if (cached != nullptr && cached->members == members &&
+      cached->sheet_version == snapshot.version) {
+    return cached->ranking;
   }
-  std::vector<MemberInfo> ranked;
-  for (const size_t index : RankCandidates(group, candidates, kCandidates)) {
-    ranked.push_back(*region[index]);
+  const auto row = snapshot.sheet == nullptr
+                       ? std::map<GroupName, GroupRow>::const_iterator()
+                       : snapshot.sheet->groups.find(group);
+  if (snapshot.sheet == nullptr || row == snapshot.sheet->groups.end()) {
+    return std::make_shared<const std::vector<MemberInfo>>();
   }
-  return ranked;
+  auto ranking = std::make_shared<const std::vector<MemberInfo>>(
+      Rank(group, row->second.region, *members));
+  auto entry = std::make_shared<CachedRanking>();
+  *entry = {members, snapshot.version, ranking};
+  m_rankings.Store(group, std::move(entry));
+  return ranking;
 }
 
 bool HomeDirectory::IsFirst(const GroupName& group) const {
-  const std::vector<MemberInfo> candidates = Candidates(group);
-  return !candidates.empty() && candidates.front().id == m_context->self.id;
+  const Ranking candidates = Candidates(group);
+  return !candidates->empty() && candidates->front().id == m_context->self.id;
 }
 
 void HomeDirectory::Reconcile() {
   const SheetSnapshot snapshot = m_sheets->Current();
+  const MemberList members = m_members->Members();
   if (snapshot.sheet == nullptr) {
     return;
   }
-  if (!m_draining) {
-    for (const auto& [group, row] : snapshot.sheet->groups) {
-      if (m_homes.Find(group) == nullptr && IsFirst(group)) {
-        FindOrCreate(group);
-      }
+  if (members != m_applied_members || snapshot.version != m_applied_sheet) {
+    m_applied_members = members;
+    m_applied_sheet = snapshot.version;
+    CreateWantedHomes(snapshot);
+    for (const auto& [group, home] : m_homes.All()) {
+      home->OnSheet(snapshot);
     }
   }
+  CloseUnwantedHomes(snapshot);
+}
+
+void HomeDirectory::CreateWantedHomes(const SheetSnapshot& snapshot) {
+  if (m_draining) {
+    return;
+  }
+  for (const auto& [group, row] : snapshot.sheet->groups) {
+    if (m_homes.Find(group) == nullptr && IsFirst(group)) {
+      FindOrCreate(group);
+    }
+  }
+}
+
+void HomeDirectory::CloseUnwantedHomes(const SheetSnapshot& snapshot) {
   const absl::Time now = absl::Now();
   for (const auto& [group, home] : m_homes.All()) {
-    home->OnSheet(snapshot);
     const bool wanted = snapshot.sheet->groups.contains(group) &&
                         (IsFirst(group) || now - home->LastUsed() < kIdleLimit);
     if (!wanted && home->Active() == 0) {
--- a/Source/runtime/home_directory.h
+++ b/Source/runtime/home_directory.h
@@ -25,11 +25,15 @@
   std::shared_ptr<GroupHome> FindOrCreate(const GroupName& group);
   std::shared_ptr<GroupHome> Find(const GroupName& group) const;
 
-  // The instances that may serve the group, the home first. Members of the
-  // group's region come before all others.
-  std::vector<MemberInfo> Candidates(const GroupName& group) const;
+  using Ranking = std::shared_ptr<const std::vector<MemberInfo>>;
 
-  // Applies a new sheet or membership: creates the homes of the groups that
+  // The instances that may serve the group, the home first; never null, but
+  // empty when the sheet lacks the group. Members of the group's region come
+  // before all others.
+  Ranking Candidates(const GroupName& group) const;
+
+  // Applies a new sheet or membership, and does nothing else when there is
+  // none: creates the homes of the groups that
   // this instance is first for, and closes those that it has not used for a
   // while and is not first for.
   void Reconcile();
@@ -43,13 +47,29 @@
   void CloseAll();
 
  private:
+  using MemberList = std::shared_ptr<const std::vector<MemberInfo>>;
+
+  // A ranking and what it was computed from. Computing one takes time in
+  // proportion to the region's members, which is too much for each request.
+  struct CachedRanking {
+    MemberList members;
+    uint64_t sheet_version = 0;
+    Ranking ranking;
+  };
+
   bool IsFirst(const GroupName& group) const;
+  void CreateWantedHomes(const SheetSnapshot& snapshot);
+  void CloseUnwantedHomes(const SheetSnapshot& snapshot);
 
   const HomeContext* const m_context;
   const SheetSource* const m_sheets;
   const MemberSource* const m_members;
   std::atomic<bool> m_draining{false};
   ShardMap<GroupName, GroupHome> m_homes;
+  mutable ShardMap<GroupName, CachedRanking> m_rankings;
+  // What Reconcile has applied; only its thread uses them.
+  MemberList m_applied_members;
+  uint64_t m_applied_sheet = 0;
 };
 
 }  // namespace heatherwick
--- a/Source/runtime/operator_service.cc
+++ b/Source/runtime/operator_service.cc
@@ -91,15 +91,14 @@
                                     bool at_home,
                                     proto::GroupState* state) const {
   state->set_group(group);
-  const std::vector<MemberInfo> candidates =
-      m_context->homes->Candidates(group);
-  if (candidates.empty()) {
+  const HomeDirectory::Ranking candidates = m_context->homes->Candidates(group);
+  if (candidates->empty()) {
     state->set_error_message(
         absl::StrCat("group \"", group,
                      "\" is not in the sheet; see: heatherwick sheet show"));
     return;
   }
-  const MemberInfo& first = candidates.front();
+  const MemberInfo& first = candidates->front();
   state->set_home(first.id);
   if (at_home || first.id == m_context->self.id) {
     if (const auto home = m_context->homes->Find(group)) {
@@ -162,7 +161,7 @@
                                 ClassText(ValueOf(rules))));
   size_t rank = 0;
   for (const MemberInfo& member :
-       m_context->homes->Candidates(execute.group())) {
+       *m_context->homes->Candidates(execute.group())) {
     reply->add_lines(
         absl::StrCat(rank == 0 ? "home: " : "successor: ", member.id, " (",
                      member.data_centre, ", ", member.address, ")",
--- a/Source/runtime/routed_request.cc
+++ b/Source/runtime/routed_request.cc
@@ -123,7 +123,7 @@
 
 void RoutedRequest::TryCandidates() {
   m_next = 0;
-  m_candidates = m_context->homes->Candidates(Group());
+  m_candidates = *m_context->homes->Candidates(Group());
   const InstanceId transaction_home = TransactionHome();
   if (!transaction_home.empty()) {
     // Also when the home is leaving and thus no candidate any more.
@@ -262,9 +262,10 @@
 
 void RoutedRequest::AfterLostCall(const Error& error) {
   const proto::Operation operation = m_execute.operation();
-  const bool commits =
-      !m_resolving && (operation == proto::WRITE || operation == proto::COMMIT);
-  if (!m_resolving && !m_execute.transaction().empty() && !commits) {
+  const bool step = !m_resolving && !m_execute.transaction().empty() &&
+                    operation != proto::COMMIT;
+  if (step) {
+    // Whatever the step did is rolled back, since nothing commits it.
     FinishError(proto::NOT_RUN,
                 Error{ErrorKind::kTransactionLost,
                       "the transaction's home does not answer; the "
@@ -272,6 +273,8 @@
                       "begin a new transaction"});
     return;
   }
+  const bool commits =
+      !m_resolving && (operation == proto::WRITE || operation == proto::COMMIT);
   if (!commits) {
     TryNext();
     return;
--- a/Tests/scenarios/fake_target.cc
+++ b/Tests/scenarios/fake_target.cc
@@ -82,9 +82,9 @@
                            absl::Duration max_age,
                            absl::Time now) const {
   FakeReply reply;
-  const bool right_place =
-      term == 0 ? m_primary || now - m_fresh_since <= max_age
-                : m_primary && term == m_term;
+  const bool right_place = term == 0
+                               ? m_primary || now - m_fresh_since <= max_age
+                               : m_primary && term == m_term;
   if (!right_place || (m_rules.checks_position && !Contains(min_position))) {
     return reply;
   }
--- a/Tests/scenarios/fake_target.h
+++ b/Tests/scenarios/fake_target.h
@@ -59,19 +59,26 @@
  public:
   FakeTarget(bool primary, absl::Time now, const FakeTargetRules& rules);
 
-  FakeReply Write(uint64_t term, const std::string& key, uint64_t write,
+  FakeReply Write(uint64_t term,
+                  const std::string& key,
+                  uint64_t write,
                   absl::Time now);
   FakeReply Resolve(uint64_t term, const std::string& key, absl::Time now);
   // With `term` 0 a replica may serve it.
-  FakeReply Read(uint64_t term, Position min_position, absl::Duration max_age,
+  FakeReply Read(uint64_t term,
+                 Position min_position,
+                 absl::Duration max_age,
                  absl::Time now) const;
   FakeFenceReply Fence(uint64_t term, const std::string& decider);
-  FakeFenceReply Promote(uint64_t term, const std::string& decider,
+  FakeFenceReply Promote(uint64_t term,
+                         const std::string& decider,
                          absl::Time now);
   TargetStatus Status(absl::Time now) const;
 
-  FakePull AnswerPull(uint64_t term, const std::vector<FakeEntry>& log,
-                      absl::Duration lag, absl::Time now) const;
+  FakePull AnswerPull(uint64_t term,
+                      const std::vector<FakeEntry>& log,
+                      absl::Duration lag,
+                      absl::Time now) const;
   void OnPull(const FakePull& pull, absl::Time started, absl::Time now);
 
   bool Contains(Position position) const;
@@ -88,7 +95,9 @@
 
  private:
   const FakeEntry* FindKey(const std::string& key) const;
-  void Append(const std::string& key, bool refused, uint64_t write,
+  void Append(const std::string& key,
+              bool refused,
+              uint64_t write,
               absl::Time now);
 
   const FakeTargetRules m_rules;
--- a/Tests/scenarios/proxy_node.cc
+++ b/Tests/scenarios/proxy_node.cc
@@ -147,9 +147,9 @@
   m_network->Call<FakeFenceReply>(
       m_name, promote.target, kCallTimeout, true,
       [this, promote, decider = Decider()] {
-        const FakeFenceReply reply = m_group->At(promote.target)
-                                         .Promote(promote.term, decider,
-                                                  m_queue->Now());
+        const FakeFenceReply reply =
+            m_group->At(promote.target)
+                .Promote(promote.term, decider, m_queue->Now());
         if (reply.granted) {
           m_history->OnPromoted(promote.target, promote.term);
         }
@@ -160,9 +160,8 @@
           return;
         }
         std::vector<FailoverAction> actions;
-        m_failover->OnPromoteReply(promote.target, promote.term,
-                                   reply->granted, reply->term,
-                                   m_queue->Now(), &actions);
+        m_failover->OnPromoteReply(promote.target, promote.term, reply->granted,
+                                   reply->term, m_queue->Now(), &actions);
         Apply(actions);
       });
 }
--- a/Tests/scenarios/random_run.cc
+++ b/Tests/scenarios/random_run.cc
@@ -138,8 +138,8 @@
     if (m_last_key == 0) {
       return NewKey();
     }
-    return absl::StrCat("k", m_last_key - m_net.Draw(0, std::min<int64_t>(
-                                                            2, m_last_key - 1)));
+    return absl::StrCat(
+        "k", m_last_key - m_net.Draw(0, std::min<int64_t>(2, m_last_key - 1)));
   }
 
   RandomRunResult Summarize() {
--- a/Tests/scenarios/simulation.cc
+++ b/Tests/scenarios/simulation.cc
@@ -27,8 +27,8 @@
     Replicate(name);
   }
   for (const std::string& name : proxies) {
-    m_proxies[name] = std::make_unique<ProxyNode>(
-        name, &m_queue, &m_network, &m_group, &m_history, ++seed);
+    m_proxies[name] = std::make_unique<ProxyNode>(name, &m_queue, &m_network,
+                                                  &m_group, &m_history, ++seed);
   }
 }
 
@@ -88,8 +88,9 @@
       done(outcome);
     }
   };
-  m_queue.After(kSessionTimeout,
-                [finish] { finish({Told::kUnknown, {}, {}}); });
+  m_queue.After(kSessionTimeout, [finish] {
+    finish({Told::kUnknown, {}, {}});
+  });
   m_proxies.at(via)->Submit(request, finish);
   return operation;
 }
--- a/Tests/scenarios/simulation.h
+++ b/Tests/scenarios/simulation.h
@@ -27,13 +27,17 @@
              const FakeTargetRules& rules);
 
   // The session's calls return at once; Told tells how they ended.
-  OperationId Write(const std::string& via, const std::string& session,
+  OperationId Write(const std::string& via,
+                    const std::string& session,
                     const std::string& key);
-  OperationId Resolve(const std::string& via, const std::string& session,
+  OperationId Resolve(const std::string& via,
+                      const std::string& session,
                       const std::string& key);
   // Without a target: current data. With one: data of at most `max_age`.
-  OperationId Read(const std::string& via, const std::string& session,
-                   const std::string& target, absl::Duration max_age);
+  OperationId Read(const std::string& via,
+                   const std::string& session,
+                   const std::string& target,
+                   absl::Duration max_age);
   Told ToldFor(OperationId operation) const { return m_told[operation]; }
 
   void Advance(absl::Duration duration);
@@ -60,7 +64,8 @@
   std::string Primary() const;
 
  private:
-  OperationId Begin(const std::string& via, const SessionRequest& request,
+  OperationId Begin(const std::string& via,
+                    const SessionRequest& request,
                     std::function<void(const Outcome&)> done);
   void AdvanceToken(const std::string& session, Position position);
   void Replicate(const std::string& replica);
