--- /dev/null
+++ b/Tests/runtime/tsan_mutex.cc
@@ -0,0 +1,49 @@
+// Tells the thread sanitizer about absl::Mutex. Debian's Abseil is built
+// without the sanitizer, so that it would report every access under a lock as
+// a race. The linker replaces the calls of the tests by these (--wrap).
+
+#include <sanitizer/tsan_interface.h>
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+extern "C" {
+
+void AnnotateIgnoreReadsBegin(const char* file, int line);
+void AnnotateIgnoreReadsEnd(const char* file, int line);
+
+void __real__ZN4absl7debian35Mutex4LockEv(absl::Mutex* mutex);
+void __real__ZN4absl7debian35Mutex6UnlockEv(absl::Mutex* mutex);
+bool __real__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
+    absl::Mutex* mutex,
+    const absl::Condition& condition,
+    absl::Time deadline);
+
+void __wrap__ZN4absl7debian35Mutex4LockEv(absl::Mutex* mutex) {
+  __real__ZN4absl7debian35Mutex4LockEv(mutex);
+  __tsan_acquire(mutex);
+}
+
+void __wrap__ZN4absl7debian35Mutex6UnlockEv(absl::Mutex* mutex) {
+  __tsan_release(mutex);
+  // Unlock evaluates the conditions of waiting threads under the lock.
+  AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
+  __real__ZN4absl7debian35Mutex6UnlockEv(mutex);
+  AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
+}
+
+bool __wrap__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
+    absl::Mutex* mutex,
+    const absl::Condition& condition,
+    absl::Time deadline) {
+  __tsan_release(mutex);
+  AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
+  const bool holds =
+      __real__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
+          mutex, condition, deadline);
+  AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
+  __tsan_acquire(mutex);
+  return holds;
+}
+
+}  // extern "C"
