decision: Count an earlier primary as missing the present one

Cause: a target that still believes that it leads in an older term was neither counted among the replicas that miss the primary nor ignored when the controller asked whether others hear the primary. When the primary of the highest term died beside such a target, nobody was promoted; when only this instance was cut off from it, this instance kept the group.

Ruled out: too few fresh targets (two of three answered) and back-off (no attempt was ever made).

Change: a target that leads in an older term misses the primary. Only a replica of the highest term, which heard its primary within the suspicion time, counts as hearing it.

Conclusion: a group with a majority of reachable targets gets a primary also when an earlier one has not noticed its replacement.

--- a/Source/decision/failover_controller.cc
+++ b/Source/decision/failover_controller.cc
@@ -212,20 +212,13 @@
 }
 
 uint64_t FailoverController::HighestTerm() const {
-  uint64_t highest = m_attempt_term;
-  for (const auto& [target, watched] : m_targets) {
-    highest = std::max(highest, watched.status.term);
-  }
-  return highest;
+  return std::max(m_attempt_term, HighestReportedTerm());
 }
 
 void FailoverController::AdoptReportedPrimary(
     absl::Time now,
     std::vector<FailoverAction>* actions) {
-  uint64_t highest = 0;
-  for (const auto& [target, watched] : m_targets) {
-    highest = std::max(highest, watched.status.term);
-  }
+  const uint64_t highest = HighestReportedTerm();
   for (const auto& [target, watched] : m_targets) {
     // A primary of a lower term has lost some target to a newer decider and
     // may be replaced at any time.
@@ -269,12 +262,25 @@
   actions->push_back(PrimaryLost{reason, home_cut_off});
 }
 
+uint64_t FailoverController::HighestReportedTerm() const {
+  uint64_t highest = 0;
+  for (const auto& [target, watched] : m_targets) {
+    highest = std::max(highest, watched.status.term);
+  }
+  return highest;
+}
+
 bool FailoverController::MajorityOfReplicasMissPrimary(absl::Time now) const {
+  const uint64_t highest = HighestReportedTerm();
   const size_t others = m_targets.size() - 1;
   size_t missing = 0;
   for (const auto& [target, watched] : m_targets) {
-    if (IsFresh(watched, now) && !watched.status.primary &&
-        watched.status.primary_silent >= m_options.suspicion_after) {
+    // One that believes that it leads in an older term follows nobody.
+    const bool misses =
+        watched.status.primary
+            ? watched.status.term < highest
+            : watched.status.primary_silent >= m_options.suspicion_after;
+    if (IsFresh(watched, now) && misses) {
       ++missing;
     }
   }
@@ -282,18 +288,21 @@
 }
 
 bool FailoverController::ReplicaHearsPrimary(absl::Time now) const {
+  const uint64_t highest = HighestReportedTerm();
   // A replica that heard the primary about as late as this instance did says
   // nothing about the present.
   absl::Time last_heard = m_watching_since;
   for (const auto& [target, watched] : m_targets) {
-    if (watched.status.primary) {
+    if (watched.status.primary && watched.status.term == highest) {
       last_heard = std::max(last_heard, watched.answered_at);
     }
   }
   return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& row) {
     const Watched& watched = row.second;
-    return IsFresh(watched, now) && !watched.status.primary &&
-           watched.answered_at - watched.status.primary_silent >
+    const TargetStatus& status = watched.status;
+    return IsFresh(watched, now) && !status.primary && status.term == highest &&
+           status.primary_silent < m_options.suspicion_after &&
+           watched.answered_at - status.primary_silent >
                last_heard + m_options.suspicion_after / 2;
   });
 }
--- a/Source/decision/failover_controller.h
+++ b/Source/decision/failover_controller.h
@@ -145,6 +145,8 @@
 
   size_t Majority() const { return m_targets.size() / 2 + 1; }
   bool IsFresh(const Watched& watched, absl::Time now) const;
+  uint64_t HighestReportedTerm() const;
+  // Also of this instance's own attempts.
   uint64_t HighestTerm() const;
   void ReadStatus(const TargetId& target,
                   Watched* watched,
@@ -164,7 +166,8 @@
   // Replicas that answer and have not heard the primary for the suspicion
   // time; false when too few answer to say.
   bool MajorityOfReplicasMissPrimary(absl::Time now) const;
-  // A replica has heard the primary well after this instance last did.
+  // A replica of the highest term hears its primary, and has heard it well
+  // after this instance last did.
   bool ReplicaHearsPrimary(absl::Time now) const;
   void ConsiderPromotion(absl::Time now, std::vector<FailoverAction>* actions);
   // Replaces a primary that answers but is cut off from its replicas, or is
