--- a/Tests/scenarios/fake_target.cc
+++ b/Tests/scenarios/fake_target.cc
@@ -6,9 +6,7 @@
 
 namespace heatherwick {
 
-FakeTarget::FakeTarget(bool primary,
-                       absl::Time now,
-                       const FakeTargetRules& rules)
+FakeTarget::FakeTarget(bool primary, absl::Time now, const PlatformRules& rules)
     : m_rules(rules), m_primary(primary), m_heard_primary(now) {
   if (primary) {
     Append("", false, 0, now);
@@ -44,7 +42,7 @@
                             uint64_t write,
                             absl::Time now) {
   FakeReply reply;
-  if (m_rules.fences_writes && (!m_primary || term != m_term)) {
+  if (!m_primary || term != m_term) {
     return reply;
   }
   const FakeEntry* known = m_rules.checks_keys ? FindKey(key) : nullptr;
@@ -82,9 +80,9 @@
                            absl::Duration max_age,
                            absl::Time now) const {
   FakeReply reply;
-  const bool right_place =
-      term == 0 ? m_primary || now - m_fresh_since <= max_age
-                : m_primary && term == m_term;
+  const bool right_place = term == 0
+                               ? m_primary || now - m_fresh_since <= max_age
+                               : m_primary && term == m_term;
   if (!right_place || (m_rules.checks_position && !Contains(min_position))) {
     return reply;
   }
@@ -105,7 +103,8 @@
     m_fresh_since = absl::InfinitePast();
   }
   const bool granted =
-      term == m_term && decider == m_decider && m_followed < m_term;
+      term == m_term &&
+      (!m_rules.grants_once || (decider == m_decider && m_followed < m_term));
   return {granted, m_term, End()};
 }
 
@@ -113,7 +112,8 @@
                                    const std::string& decider,
                                    absl::Time now) {
   const bool granted =
-      term == m_term && decider == m_decider && m_followed < m_term;
+      term == m_term &&
+      (!m_rules.grants_once || (decider == m_decider && m_followed < m_term));
   if (granted && !m_primary) {
     m_primary = true;
     Append("", false, 0, now);
--- a/Tests/scenarios/fake_target.h
+++ b/Tests/scenarios/fake_target.h
@@ -48,30 +48,38 @@
   bool complete = false;
 };
 
-// Rules of the target that a test may take out to see it fail.
-struct FakeTargetRules {
-  bool fences_writes = true;
+// Rules of the platform that a test may take out to see it fail.
+struct PlatformRules {
   bool checks_keys = true;
   bool checks_position = true;
+  bool grants_once = true;  // A term belongs to one decider.
+  bool conditional_table = true;
 };
 
 class FakeTarget {
  public:
-  FakeTarget(bool primary, absl::Time now, const FakeTargetRules& rules);
+  FakeTarget(bool primary, absl::Time now, const PlatformRules& rules);
 
-  FakeReply Write(uint64_t term, const std::string& key, uint64_t write,
+  FakeReply Write(uint64_t term,
+                  const std::string& key,
+                  uint64_t write,
                   absl::Time now);
   FakeReply Resolve(uint64_t term, const std::string& key, absl::Time now);
   // With `term` 0 a replica may serve it.
-  FakeReply Read(uint64_t term, Position min_position, absl::Duration max_age,
+  FakeReply Read(uint64_t term,
+                 Position min_position,
+                 absl::Duration max_age,
                  absl::Time now) const;
   FakeFenceReply Fence(uint64_t term, const std::string& decider);
-  FakeFenceReply Promote(uint64_t term, const std::string& decider,
+  FakeFenceReply Promote(uint64_t term,
+                         const std::string& decider,
                          absl::Time now);
   TargetStatus Status(absl::Time now) const;
 
-  FakePull AnswerPull(uint64_t term, const std::vector<FakeEntry>& log,
-                      absl::Duration lag, absl::Time now) const;
+  FakePull AnswerPull(uint64_t term,
+                      const std::vector<FakeEntry>& log,
+                      absl::Duration lag,
+                      absl::Time now) const;
   void OnPull(const FakePull& pull, absl::Time started, absl::Time now);
 
   bool Contains(Position position) const;
@@ -88,10 +96,12 @@
 
  private:
   const FakeEntry* FindKey(const std::string& key) const;
-  void Append(const std::string& key, bool refused, uint64_t write,
+  void Append(const std::string& key,
+              bool refused,
+              uint64_t write,
               absl::Time now);
 
-  const FakeTargetRules m_rules;
+  const PlatformRules m_rules;
   uint64_t m_term = 1;
   std::string m_decider;
   bool m_primary = false;
--- a/Tests/scenarios/history.cc
+++ b/Tests/scenarios/history.cc
@@ -119,8 +119,9 @@
   }
   for (const auto& [key, told] : m_keys) {
     if ((told == Told::kDone) != (runs[key] > 0)) {
-      Fail(absl::StrCat("key ", key,
-                        told == Told::kDone ? " is lost" : " ran after not run"));
+      Fail(absl::StrCat(
+          "key ", key,
+          told == Told::kDone ? " is lost" : " ran after not run"));
     }
   }
 }
--- a/Tests/scenarios/network.h
+++ b/Tests/scenarios/network.h
@@ -21,9 +21,9 @@
 namespace heatherwick {
 
 struct NetworkFaults {
-  double loss = 0;         // Share of messages that are lost.
-  double long_delay = 0;   // Share of messages that take up to 3 s.
-  double repeat = 0;       // Share of repeatable requests delivered twice.
+  double loss = 0;        // Share of messages that are lost.
+  double long_delay = 0;  // Share of messages that take up to 3 s.
+  double repeat = 0;      // Share of repeatable requests delivered twice.
 };
 
 class Network {
@@ -39,7 +39,8 @@
     m_cuts.clear();
     m_delays.clear();
   }
-  void Delay(const std::string& from, const std::string& to,
+  void Delay(const std::string& from,
+             const std::string& to,
              absl::Duration delay) {
     m_delays[{from, to}] = delay;
   }
--- a/Tests/scenarios/proxy_node.cc
+++ b/Tests/scenarios/proxy_node.cc
@@ -147,9 +147,9 @@
   m_network->Call<FakeFenceReply>(
       m_name, promote.target, kCallTimeout, true,
       [this, promote, decider = Decider()] {
-        const FakeFenceReply reply = m_group->At(promote.target)
-                                         .Promote(promote.term, decider,
-                                                  m_queue->Now());
+        const FakeFenceReply reply =
+            m_group->At(promote.target)
+                .Promote(promote.term, decider, m_queue->Now());
         if (reply.granted) {
           m_history->OnPromoted(promote.target, promote.term);
         }
@@ -160,9 +160,8 @@
           return;
         }
         std::vector<FailoverAction> actions;
-        m_failover->OnPromoteReply(promote.target, promote.term,
-                                   reply->granted, reply->term,
-                                   m_queue->Now(), &actions);
+        m_failover->OnPromoteReply(promote.target, promote.term, reply->granted,
+                                   reply->term, m_queue->Now(), &actions);
         Apply(actions);
       });
 }
@@ -202,7 +201,7 @@
       });
 }
 
-void ProxyNode::Submit(const SessionRequest& request, Done done) {
+void ProxyNode::Submit(const SessionRequest& request, const Done& done) {
   const bool to_replica =
       request.kind == SessionRequest::Kind::kRead && !request.target.empty();
   const auto primary = m_failover->Primary();
@@ -227,7 +226,7 @@
         }
         return at.Read(term, request.min_position, request.max_age, now);
       },
-      [this, request, done](std::optional<FakeReply> reply) {
+      [this, request, done](const std::optional<FakeReply>& reply) {
         OnReply(request, reply, done);
       });
 }
--- a/Tests/scenarios/proxy_node.h
+++ b/Tests/scenarios/proxy_node.h
@@ -39,27 +39,29 @@
   enum class Kind { kWrite, kResolve, kRead } kind = Kind::kWrite;
   std::string key;
   uint64_t write = 0;
-  absl::Duration max_age;      // kRead; zero: current data.
-  Position min_position;       // kRead
-  std::string target;          // kRead with an age: a replica.
+  absl::Duration max_age;  // kRead; zero: current data.
+  Position min_position;   // kRead
+  std::string target;      // kRead with an age: a replica.
 };
 
 class ProxyNode {
  public:
-  ProxyNode(std::string name, EventQueue* queue, Network* network,
-            GroupOfFakes* group, History* history, uint64_t seed);
+  ProxyNode(std::string name,
+            EventQueue* queue,
+            Network* network,
+            GroupOfFakes* group,
+            History* history,
+            uint64_t seed);
 
   // Forgets everything, as a new process does.
   void Start();
-  void Submit(const SessionRequest& request,
-              std::function<void(const Outcome&)> done);
+  using Done = std::function<void(const Outcome&)>;
+  void Submit(const SessionRequest& request, const Done& done);
   void SetActive(bool active);
   const FailoverController& Controller() const { return *m_failover; }
   uint64_t PromotionsStarted() const { return m_promotions; }
 
  private:
-  using Done = std::function<void(const Outcome&)>;
-
   void Tick(uint64_t incarnation);
   void Apply(const std::vector<FailoverAction>& actions);
   void Apply(const std::vector<CommitAction>& actions);
@@ -69,7 +71,8 @@
   void Wait(const WaitForPosition& wait);
   void PollPosition(const WaitForPosition& wait, absl::Time until);
   void OnReply(const SessionRequest& request,
-               const std::optional<FakeReply>& reply, const Done& done);
+               const std::optional<FakeReply>& reply,
+               const Done& done);
   std::string Decider() const;
 
   const std::string m_name;
--- a/Tests/scenarios/random_run.cc
+++ b/Tests/scenarios/random_run.cc
@@ -14,7 +14,7 @@
 
 class RandomRun {
  public:
-  RandomRun(uint64_t seed, const FakeTargetRules& rules)
+  RandomRun(uint64_t seed, const PlatformRules& rules)
       : m_simulation(seed, {"p1", "p2", "p3"}, rules),
         m_net(m_simulation.Net()) {
     for (const std::string& proxy : m_simulation.ProxyNames()) {
@@ -23,6 +23,7 @@
     for (const std::string& target : m_simulation.Group().names) {
       m_nodes.push_back(target);
     }
+    m_nodes.emplace_back(SheetWorld::kStore);
     // A third of the runs have a sound network, a third has losses.
     const int64_t kind = m_net.Draw(0, 2);
     m_net.SetFaults({kind == 0 ? 0 : 0.03, kind == 2 ? 0.05 : 0, 0.05});
@@ -36,12 +37,7 @@
     }
     m_simulation.Recover();
     m_simulation.Advance(absl::Seconds(8));
-    for (const std::string& proxy : m_simulation.ProxyNames()) {
-      if (!m_simulation.Serves(proxy)) {
-        m_simulation.Log().Fail(
-            absl::StrCat(proxy, " does not serve after recovery"));
-      }
-    }
+    CheckRecovery();
     return Summarize();
   }
 
@@ -109,7 +105,10 @@
   void DrawRequest() {
     const std::string via = DrawProxy();
     const std::string session = absl::StrCat("s", m_net.Draw(1, 4));
-    switch (m_net.Draw(0, 5)) {
+    switch (m_net.Draw(0, 6)) {
+      case 6:
+        DrawSheetStep(via);
+        break;
       case 0:
         m_operations.push_back(m_simulation.Write(via, session, ""));
         break;
@@ -132,14 +131,56 @@
     }
   }
 
+  void DrawSheetStep(const std::string& via) {
+    if (!m_net.Runs(via)) {
+      return;
+    }
+    SheetWorld& sheets = m_simulation.Sheets();
+    if (m_net.Chance(0.4)) {
+      sheets.Serve(via);
+    } else if (m_last_submission > 0 && m_net.Chance(0.4)) {
+      sheets.Repeat(via, absl::StrCat("u", m_last_submission));
+    } else {
+      sheets.LoseAnswers(m_net.Chance(0.3) ? 1 : 0);
+      sheets.Submit(via, absl::StrCat("u", ++m_last_submission));
+    }
+  }
+
+  void CheckRecovery() {
+    for (const std::string& proxy : m_simulation.ProxyNames()) {
+      if (!m_simulation.Serves(proxy)) {
+        m_simulation.Log().Fail(
+            absl::StrCat(proxy, " does not serve after recovery"));
+      }
+      if (m_simulation.Sheets().VersionAt(proxy) !=
+          m_simulation.Sheets().HeadVersion()) {
+        m_simulation.Log().Fail(
+            absl::StrCat(proxy, " lacks the newest sheet after recovery"));
+      }
+    }
+    const uint64_t promotions = Promotions();
+    m_simulation.Advance(absl::Seconds(10));
+    if (Promotions() != promotions) {
+      m_simulation.Log().Fail("promotions go on without a fault");
+    }
+  }
+
+  uint64_t Promotions() {
+    uint64_t promotions = 0;
+    for (const std::string& proxy : m_simulation.ProxyNames()) {
+      promotions += m_simulation.Proxy(proxy).PromotionsStarted();
+    }
+    return promotions;
+  }
+
   std::string NewKey() { return absl::StrCat("k", ++m_last_key); }
   // One of the latest, so that repeats and resolutions meet their request.
   std::string OldKey() {
     if (m_last_key == 0) {
       return NewKey();
     }
-    return absl::StrCat("k", m_last_key - m_net.Draw(0, std::min<int64_t>(
-                                                            2, m_last_key - 1)));
+    return absl::StrCat(
+        "k", m_last_key - m_net.Draw(0, std::min<int64_t>(2, m_last_key - 1)));
   }
 
   RandomRunResult Summarize() {
@@ -151,9 +192,8 @@
       result.not_run += told == Told::kNotRun ? 1 : 0;
       result.unknown += told == Told::kUnknown ? 1 : 0;
     }
-    for (const std::string& proxy : m_simulation.ProxyNames()) {
-      result.promotions += m_simulation.Proxy(proxy).PromotionsStarted();
-    }
+    result.promotions = Promotions();
+    result.sheets = m_simulation.Sheets().HeadVersion();
     return result;
   }
 
@@ -162,11 +202,12 @@
   std::vector<std::string> m_nodes;
   std::vector<OperationId> m_operations;
   int64_t m_last_key = 0;
+  int m_last_submission = 0;
 };
 
 }  // namespace
 
-RandomRunResult RunRandom(uint64_t seed, const FakeTargetRules& rules) {
+RandomRunResult RunRandom(uint64_t seed, const PlatformRules& rules) {
   return RandomRun(seed, rules).Run();
 }
 
--- a/Tests/scenarios/random_run.h
+++ b/Tests/scenarios/random_run.h
@@ -17,11 +17,12 @@
   size_t not_run = 0;
   size_t unknown = 0;
   uint64_t promotions = 0;
+  uint64_t sheets = 0;  // Accepted.
 };
 
 // About a minute of virtual time under faults, then recovery: each instance
 // must serve again.
-RandomRunResult RunRandom(uint64_t seed, const FakeTargetRules& rules);
+RandomRunResult RunRandom(uint64_t seed, const PlatformRules& rules);
 
 }  // namespace heatherwick
 
--- /dev/null
+++ b/Tests/scenarios/sheet_world.cc
@@ -0,0 +1,329 @@
+// Joins sheet acceptance and submission to the fake store and to peers.
+
+#include "Tests/scenarios/sheet_world.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace heatherwick {
+
+namespace {
+
+constexpr absl::Duration kTick = absl::Milliseconds(100);
+constexpr absl::Duration kGossipPeriod = absl::Seconds(1);
+constexpr absl::Duration kStoreTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kSubmissionDeadline = absl::Seconds(3);
+constexpr size_t kPollers = 2;
+
+std::string ContentOf(const std::string& submission) {
+  return absl::StrCat(
+      "record,name,group,region,data_centre,address,slots,connections,"
+      "max_age,repeatable,share\ngroup,g,,r,,,,,,,\n"
+      "target,t,g,,dc1,127.0.0.1:1,2,16,,,\ncaller,",
+      submission, ",,,,,,,,,1\n");
+}
+
+}  // namespace
+
+SheetWorld::SheetWorld(EventQueue* queue,
+                       Network* network,
+                       History* history,
+                       const std::vector<std::string>& instances,
+                       uint64_t seed,
+                       bool conditional)
+    : m_queue(queue),
+      m_network(network),
+      m_history(history),
+      m_conditional(conditional) {
+  for (const std::string& name : instances) {
+    Instance& instance = m_instances[name];
+    instance.random = std::make_unique<std::mt19937_64>(++seed);
+    instance.poller = m_instances.size() <= kPollers;
+    Restart(name);
+  }
+}
+
+void SheetWorld::Restart(const std::string& name) {
+  Instance& instance = m_instances[name];
+  instance.acceptance = std::make_unique<SheetAcceptance>(
+      SheetAcceptanceOptions(), *instance.random);
+  instance.content.clear();
+  m_history->ForgetSheetVersion(name);
+  Tick(name, m_network->Incarnation(name));
+  Gossip(name);
+}
+
+template <typename Reply>
+void SheetWorld::AtStore(const std::string& from,
+                         std::function<Reply()> serve,
+                         std::function<void(std::optional<Reply>)> done) {
+  m_network->Call<Reply>(from, kStore, kStoreTimeout, false, std::move(serve),
+                         std::move(done));
+}
+
+void SheetWorld::Tick(const std::string& name, uint64_t incarnation) {
+  if (m_network->Incarnation(name) != incarnation) {
+    return;
+  }
+  if (m_network->Runs(name)) {
+    Instance& instance = m_instances[name];
+    std::vector<SheetAction> actions;
+    instance.acceptance->OnTick(instance.poller, m_queue->Now(), &actions);
+    Apply(name, actions);
+  }
+  m_queue->After(kTick, [this, name, incarnation] { Tick(name, incarnation); });
+}
+
+void SheetWorld::Gossip(const std::string& name) {
+  const uint64_t incarnation = m_network->Incarnation(name);
+  for (const auto& [peer, instance] : m_instances) {
+    if (peer == name || !m_network->Runs(name)) {
+      continue;
+    }
+    m_network->Call<uint64_t>(
+        name, peer, kStoreTimeout, false,
+        [this, peer_name = peer] { return VersionAt(peer_name); },
+        [this, name, peer_name = peer](std::optional<uint64_t> version) {
+          if (version) {
+            std::vector<SheetAction> actions;
+            m_instances[name].acceptance->OnVersionSeen(
+                *version, peer_name, m_queue->Now(), &actions);
+            Apply(name, actions);
+          }
+        });
+  }
+  m_queue->After(kGossipPeriod, [this, name, incarnation] {
+    if (incarnation == m_network->Incarnation(name)) {
+      Gossip(name);
+    }
+  });
+}
+
+void SheetWorld::Apply(const std::string& name,
+                       const std::vector<SheetAction>& actions) {
+  SheetAcceptance* acceptance = m_instances[name].acceptance.get();
+  for (const SheetAction& action : actions) {
+    if (std::holds_alternative<ReadSheetHead>(action)) {
+      AtStore<SheetHead>(
+          name, [this] { return m_head.head; },
+          [this, name, acceptance](std::optional<SheetHead> head) {
+            std::vector<SheetAction> next;
+            if (head) {
+              acceptance->OnHeadRead(*head, m_queue->Now(), &next);
+            } else {
+              acceptance->OnHeadReadFailed(m_queue->Now());
+            }
+            Apply(name, next);
+          });
+    } else if (const auto* peer = std::get_if<FetchFromPeer>(&action)) {
+      Fetch(name, *peer);
+    } else if (const auto* store = std::get_if<FetchFromStore>(&action)) {
+      AtStore<std::string>(
+          name,
+          [this, head = store->head] {
+            return m_objects[SheetObjectName(head.content_hash)];
+          },
+          [this, name, acceptance,
+           head = store->head](std::optional<std::string> text) {
+            std::vector<SheetAction> next;
+            if (text) {
+              acceptance->OnContent(head, *text, m_queue->Now(), &next);
+            } else {
+              acceptance->OnFetchFailed(m_queue->Now());
+            }
+            Apply(name, next);
+          });
+    } else if (const auto* adopt = std::get_if<AdoptSheet>(&action)) {
+      m_instances[name].content = adopt->content;
+      m_history->OnSheetVersion(name, adopt->head.version);
+      const auto accepted = m_accepted.find(adopt->head.version);
+      if (accepted == m_accepted.end() ||
+          accepted->second != adopt->head.submission) {
+        m_history->Fail(absl::StrCat(name, " serves a sheet of version ",
+                                     adopt->head.version,
+                                     " that was not accepted"));
+      }
+    }
+  }
+}
+
+void SheetWorld::Fetch(const std::string& name, const FetchFromPeer& fetch) {
+  std::string peer = fetch.address;
+  if (peer.empty()) {
+    const auto next = m_instances.upper_bound(name);
+    peer = next == m_instances.end() ? m_instances.begin()->first : next->first;
+  }
+  SheetAcceptance* acceptance = m_instances[name].acceptance.get();
+  m_network->Call<Content>(
+      name, peer, kStoreTimeout, false,
+      [this, peer] {
+        const Instance& instance = m_instances[peer];
+        return Content{instance.acceptance->InForce(), instance.content};
+      },
+      [this, name, acceptance,
+       wanted = fetch.at_least_version](std::optional<Content> content) {
+        std::vector<SheetAction> next;
+        if (!content) {
+          acceptance->OnFetchFailed(m_queue->Now());
+        } else if (content->head.version < wanted) {
+          acceptance->OnNothingNewer(m_queue->Now());
+        } else {
+          acceptance->OnContent(content->head, content->text, m_queue->Now(),
+                                &next);
+        }
+        Apply(name, next);
+      });
+}
+
+void SheetWorld::Submit(const std::string& via, const std::string& submission) {
+  Submission& state = m_submissions[submission];
+  state.content = ContentOf(submission);
+  state.head.submission = submission;
+  state.head.content_hash = SheetContentHash(state.content);
+  state.head.base_version = VersionAt(via);
+  Repeat(via, submission);
+}
+
+void SheetWorld::Repeat(const std::string& via, const std::string& submission) {
+  const Machine machine = std::make_shared<SheetSubmission>(
+      m_submissions.at(submission).head, m_queue->Now() + kSubmissionDeadline);
+  Run(via, submission, machine, machine->Start());
+}
+
+void SheetWorld::Run(const std::string& via,
+                     const std::string& submission,
+                     const Machine& machine,
+                     const SubmissionStep& step) {
+  m_queue->After(step.delay, [this, via, submission, machine, step,
+                              incarnation = m_network->Incarnation(via)] {
+    if (incarnation == m_network->Incarnation(via)) {
+      Act(via, submission, machine, step);
+    }
+  });
+}
+
+void SheetWorld::Act(const std::string& via,
+                     const std::string& submission,
+                     const Machine& machine,
+                     const SubmissionStep& step) {
+  const auto next = [=, this](const SubmissionStep& after) {
+    Run(via, submission, machine, after);
+  };
+  const auto now = [this] { return m_queue->Now(); };
+  if (std::holds_alternative<ReadStoredHead>(step.action)) {
+    AtStore<StoredHead>(
+        via, [this] { return m_head; },
+        [=](const std::optional<StoredHead>& head) {
+          next(machine->OnHead(head, now()));
+        });
+  } else if (const auto* content = std::get_if<StoreContent>(&step.action)) {
+    AtStore<bool>(
+        via,
+        [this, name = content->name, submission] {
+          m_objects[name] = m_submissions.at(submission).content;
+          return true;
+        },
+        [=](std::optional<bool> stored) {
+          next(machine->OnContentStored(stored.has_value(), now()));
+        });
+  } else if (const auto* row = std::get_if<StoreHistory>(&step.action)) {
+    AtStore<bool>(
+        via,
+        [this, head = row->head] {
+          m_rows.emplace(head.version, head);
+          return true;
+        },
+        [=](std::optional<bool> stored) {
+          next(machine->OnHistoryStored(stored.has_value(), now()));
+        });
+  } else if (const auto* read = std::get_if<ReadHistory>(&step.action)) {
+    AtStore<SheetHead>(
+        via,
+        [this, version = read->version] {
+          const auto found = m_rows.find(version);
+          return found == m_rows.end() ? SheetHead() : found->second;
+        },
+        [=](const std::optional<SheetHead>& head) {
+          next(machine->OnHistory(head, now()));
+        });
+  } else if (const auto* write =
+                 std::get_if<heatherwick::ReplaceHead>(&step.action)) {
+    AtStore<HeadWrite>(
+        via, [this, write = *write] { return ReplaceHead(write); },
+        [=, this](std::optional<HeadWrite> result) {
+          if (result && m_lost_answers > 0) {
+            --m_lost_answers;
+            result.reset();
+          }
+          next(machine->OnHeadWritten(result.value_or(HeadWrite::kUnanswered),
+                                      now()));
+        });
+  } else {
+    End(via, submission, std::get<SubmissionEnded>(step.action));
+  }
+}
+
+HeadWrite SheetWorld::ReplaceHead(const struct ReplaceHead& write) {
+  if (m_conditional && m_head.row_version != write.expected_row_version) {
+    return HeadWrite::kConflict;
+  }
+  for (const auto& [version, submission] : m_accepted) {
+    if (submission == write.head.submission || version >= write.head.version) {
+      m_history->Fail(absl::StrCat("submission ", write.head.submission,
+                                   " was accepted over version ", version));
+    }
+  }
+  if (m_submissions[write.head.submission].outcome == Submitted::kLost) {
+    m_history->Fail(absl::StrCat("submission ", write.head.submission,
+                                 " was accepted after it was told lost"));
+  }
+  m_head = {m_head.row_version + 1, write.head};
+  m_accepted[write.head.version] = write.head.submission;
+  return HeadWrite::kWritten;
+}
+
+void SheetWorld::End(const std::string& via,
+                     const std::string& submission,
+                     const SubmissionEnded& ended) {
+  Submission& state = m_submissions[submission];
+  const auto found = m_accepted.find(state.head.base_version + 1);
+  const bool accepted =
+      found != m_accepted.end() && found->second == submission;
+  switch (ended.outcome) {
+    case SubmissionOutcome::kAccepted: {
+      state.outcome = Submitted::kAccepted;
+      if (!accepted) {
+        m_history->Fail(submission + " was told accepted and is not");
+      }
+      std::vector<SheetAction> actions;
+      m_instances[via].acceptance->OnSubmitted(ended.head, state.content,
+                                               &actions);
+      Apply(via, actions);
+      break;
+    }
+    case SubmissionOutcome::kLost:
+      state.outcome = Submitted::kLost;
+      if (accepted) {
+        m_history->Fail(submission + " was told lost and is accepted");
+      }
+      break;
+    case SubmissionOutcome::kUnavailable:
+      state.outcome = Submitted::kUnavailable;
+      break;
+    case SubmissionOutcome::kUnknown:
+      state.outcome = Submitted::kUnknown;
+      break;
+  }
+}
+
+void SheetWorld::Serve(const std::string& instance) {
+  SheetAcceptance& acceptance = *m_instances[instance].acceptance;
+  if (VersionAt(instance) >= m_session_version) {
+    m_session_version = VersionAt(instance);
+    return;
+  }
+  std::vector<SheetAction> actions;
+  acceptance.OnVersionSeen(m_session_version, "", m_queue->Now(), &actions);
+  Apply(instance, actions);
+}
+
+}  // namespace heatherwick
--- a/Tests/scenarios/simulation.cc
+++ b/Tests/scenarios/simulation.cc
@@ -18,7 +18,7 @@
 
 Simulation::Simulation(uint64_t seed,
                        const std::vector<std::string>& proxies,
-                       const FakeTargetRules& rules)
+                       const PlatformRules& rules)
     : m_network(&m_queue, seed), m_proxy_names(proxies) {
   m_group.names = {"a", "b", "c"};
   for (const std::string& name : m_group.names) {
@@ -27,9 +27,11 @@
     Replicate(name);
   }
   for (const std::string& name : proxies) {
-    m_proxies[name] = std::make_unique<ProxyNode>(
-        name, &m_queue, &m_network, &m_group, &m_history, ++seed);
+    m_proxies[name] = std::make_unique<ProxyNode>(name, &m_queue, &m_network,
+                                                  &m_group, &m_history, ++seed);
   }
+  m_sheets = std::make_unique<SheetWorld>(
+      &m_queue, &m_network, &m_history, proxies, seed, rules.conditional_table);
 }
 
 void Simulation::Replicate(const std::string& replica) {
@@ -79,7 +81,7 @@
 
 OperationId Simulation::Begin(const std::string& via,
                               const SessionRequest& request,
-                              std::function<void(const Outcome&)> done) {
+                              const std::function<void(const Outcome&)>& done) {
   const OperationId operation = m_told.size();
   m_told.push_back(Told::kPending);
   const auto finish = [this, operation, done](const Outcome& outcome) {
@@ -88,8 +90,9 @@
       done(outcome);
     }
   };
-  m_queue.After(kSessionTimeout,
-                [finish] { finish({Told::kUnknown, {}, {}}); });
+  m_queue.After(kSessionTimeout, [finish] {
+    finish({Told::kUnknown, {}, {}});
+  });
   m_proxies.at(via)->Submit(request, finish);
   return operation;
 }
@@ -171,9 +174,10 @@
 void Simulation::Restart(const std::string& node, bool forgets_role) {
   m_network.Kill(node);
   m_network.Restart(node);
-  if (!IsTarget(node)) {
+  if (m_proxies.contains(node)) {
     m_proxies.at(node)->Start();
-  } else if (forgets_role) {
+    m_sheets->Restart(node);
+  } else if (IsTarget(node) && forgets_role) {
     m_group.At(node).ForgetRole();
   }
 }
@@ -195,6 +199,8 @@
     }
     m_network.Resume(name);
   }
+  m_network.Restart(SheetWorld::kStore);
+  m_network.Resume(SheetWorld::kStore);
 }
 
 bool Simulation::Serves(const std::string& via) {
--- a/Tests/scenarios/simulation.h
+++ b/Tests/scenarios/simulation.h
@@ -15,6 +15,7 @@
 #include "Tests/scenarios/history.h"
 #include "Tests/scenarios/network.h"
 #include "Tests/scenarios/proxy_node.h"
+#include "Tests/scenarios/sheet_world.h"
 
 namespace heatherwick {
 
@@ -24,18 +25,23 @@
  public:
   Simulation(uint64_t seed,
              const std::vector<std::string>& proxies,
-             const FakeTargetRules& rules);
+             const PlatformRules& rules);
 
   // The session's calls return at once; Told tells how they ended.
-  OperationId Write(const std::string& via, const std::string& session,
+  OperationId Write(const std::string& via,
+                    const std::string& session,
                     const std::string& key);
-  OperationId Resolve(const std::string& via, const std::string& session,
+  OperationId Resolve(const std::string& via,
+                      const std::string& session,
                       const std::string& key);
   // Without a target: current data. With one: data of at most `max_age`.
-  OperationId Read(const std::string& via, const std::string& session,
-                   const std::string& target, absl::Duration max_age);
+  OperationId Read(const std::string& via,
+                   const std::string& session,
+                   const std::string& target,
+                   absl::Duration max_age);
   Told ToldFor(OperationId operation) const { return m_told[operation]; }
 
+  absl::Time Now() const { return m_queue.Now(); }
   void Advance(absl::Duration duration);
   void Kill(const std::string& node) { m_network.Kill(node); }
   // A proxy starts anew; a target keeps its log and, unless told otherwise,
@@ -53,6 +59,7 @@
   ProxyNode& Proxy(const std::string& name) { return *m_proxies.at(name); }
   const std::vector<std::string>& ProxyNames() const { return m_proxy_names; }
   History& Log() { return m_history; }
+  SheetWorld& Sheets() { return *m_sheets; }
   bool IsTarget(const std::string& name) const {
     return m_group.targets.contains(name);
   }
@@ -60,8 +67,9 @@
   std::string Primary() const;
 
  private:
-  OperationId Begin(const std::string& via, const SessionRequest& request,
-                    std::function<void(const Outcome&)> done);
+  OperationId Begin(const std::string& via,
+                    const SessionRequest& request,
+                    const std::function<void(const Outcome&)>& done);
   void AdvanceToken(const std::string& session, Position position);
   void Replicate(const std::string& replica);
   void Pull(const std::string& replica, const std::string& source);
@@ -73,6 +81,7 @@
   History m_history;
   std::vector<std::string> m_proxy_names;
   std::map<std::string, std::unique_ptr<ProxyNode>> m_proxies;
+  std::unique_ptr<SheetWorld> m_sheets;
   std::map<std::string, std::string> m_tokens;  // Encoded, by session.
   std::vector<Told> m_told;
   std::map<std::string, uint64_t> m_write_of_key;
