--- a/Tests/scenarios/proxy_node.h
+++ b/Tests/scenarios/proxy_node.h
@@ -55,15 +55,13 @@
 
   // Forgets everything, as a new process does.
   void Start();
-  void Submit(const SessionRequest& request,
-              std::function<void(const Outcome&)> done);
+  using Done = std::function<void(const Outcome&)>;
+  void Submit(const SessionRequest& request, const Done& done);
   void SetActive(bool active);
   const FailoverController& Controller() const { return *m_failover; }
   uint64_t PromotionsStarted() const { return m_promotions; }
 
  private:
-  using Done = std::function<void(const Outcome&)>;
-
   void Tick(uint64_t incarnation);
   void Apply(const std::vector<FailoverAction>& actions);
   void Apply(const std::vector<CommitAction>& actions);
