decision: Expect no progress of replicas while the group has no primary

Cause: a replica was expected to hold a session's position by now when its last report was one age behind, although it pulls nothing without a primary; such reads were sent, refused by the target, and used the retry budget. Change: without a primary only the reported position counts. Conclusion: kept for the retry budget.

--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -380,9 +380,10 @@
   if (health.last >= position) {
     return true;
   }
-  // The report is up to a status period old. A replica that follows the same
-  // term goes on pulling, so it holds by now what existed one age ago.
-  return health.last.term == position.term &&
+  // The report is up to a status period old. While the group has a primary, a
+  // replica that follows its term goes on pulling, so it holds by now what
+  // existed one age ago.
+  return m_primary.has_value() && health.last.term == position.term &&
          m_positions.ExistedAt(position) + health.age + kPositionMargin <= now;
 }
 
