decision: Leave connections for transactions of other callers

Cause: one caller could pin every connection but one with open transactions, for up to 30 s, and nobody else could begin one. Change: beyond its part a caller pins a connection only while one remains for each other caller without a transaction, two at most.

--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -13,6 +13,8 @@
 // Covers the time that a pull and a status report take to arrive.
 constexpr absl::Duration kPositionMargin = absl::Milliseconds(5);
 
+// Connections left to callers without a transaction, at most.
+constexpr size_t kPinsLeft = 2;
 // Section 7 of docs/design.md.
 constexpr absl::Duration kIdleTransactionLimit = absl::Seconds(30);
 // After a promotion the queue has to drain before its rate says anything.
@@ -352,11 +354,9 @@
     return pending.is_long ? StartAnswer::kNotThisKind
                            : StartAnswer::kNotThisRequest;
   }
-  // One connection is left to single statements.
-  const uint32_t share = primary->Rules().connections;
-  if (pending.request.begins_transaction && share > 1 &&
-      primary->PinnedTransactions() + 1 >= share) {
-    return StartAnswer::kNotThisKind;
+  if (pending.request.begins_transaction &&
+      !MayPin(*primary, pending.request.caller)) {
+    return StartAnswer::kNotThisRequest;
   }
   const Connection* connection = primary->FreeConnection();
   if (connection == nullptr) {
@@ -367,6 +367,39 @@
   return StartAnswer::kStart;
 }
 
+bool PolicyGroupScheduler::MayPin(const TargetState& primary,
+                                  const CallerName& caller) const {
+  // One connection is left to single statements.
+  const uint32_t connections = primary.Rules().connections;
+  const uint32_t limit = connections > 1 ? connections - 1 : connections;
+  const uint32_t pinned = primary.PinnedTransactions();
+  if (pinned >= limit) {
+    return false;
+  }
+  absl::flat_hash_map<absl::string_view, uint32_t> open;
+  for (const auto& [id, transaction] : m_transactions) {
+    ++open[transaction.caller];
+  }
+  uint64_t share_sum = 0;
+  for (const auto& [name, share] : m_rules.shares) {
+    share_sum += share;
+  }
+  const auto share = m_rules.shares.find(caller);
+  const double part =
+      share == m_rules.shares.end()
+          ? 1.0
+          : static_cast<double>(limit) * share->second / share_sum;
+  const uint32_t own = open[caller];
+  if (own < part) {
+    return true;
+  }
+  // A lent connection cannot be taken back until its transaction ends, so a
+  // few are left to callers that have none.
+  const size_t without =
+      m_rules.shares.size() - std::min(m_rules.shares.size(), open.size());
+  return pinned + std::min<size_t>(without, kPinsLeft) < limit;
+}
+
 bool PolicyGroupScheduler::MayRunLong(const TargetState& target,
                                       absl::Time now) const {
   return target.RunningLong(m_durations, now) <
@@ -474,7 +507,7 @@
   Dequeue(pending);
   if (request.begins_transaction) {
     m_transactions[request.transaction] = {
-        choice.target, choice.connection, m_term, {}};
+        request.caller, choice.target, choice.connection, m_term, {}};
   }
   choice.target->Start(choice.connection, request, pending->may_be_long, now);
   m_policies.queue->Charge(*pending, pending->estimate.mean);
--- a/Source/decision/policy_group_scheduler.h
+++ b/Source/decision/policy_group_scheduler.h
@@ -75,6 +75,7 @@
 
  private:
   struct Transaction {
+    CallerName caller;
     TargetState* target = nullptr;
     ConnectionId connection = 0;
     uint64_t term = 0;
@@ -126,6 +127,8 @@
   bool HoldsPosition(const TargetState& target,
                      Position position,
                      absl::Time now) const;
+  // Whether the caller may pin another connection of the primary.
+  bool MayPin(const TargetState& primary, const CallerName& caller) const;
   bool MayRunLong(const TargetState& target, absl::Time now) const;
   void Start(PendingRequest* pending,
              const Choice& choice,
