membership: Probe three times a second while updates wait

Cause: after the loss of a data centre (206 of 558 instances of a region) the 412 suspicions and deaths leave in messages of eight, two messages a second. Change: while more updates than one message holds were sent fewer than ten times, the probe period is 333 ms instead of 1 s.

--- a/Source/decision/membership.cc
+++ b/Source/decision/membership.cc
@@ -17,6 +17,10 @@
 // the rest.
 constexpr size_t kSendsPerDoubling = 2;
 
+// An update that was sent less often than this still needs this instance to
+// spread; later copies mostly meet members that know it.
+constexpr size_t kFreshSends = 10;
+
 absl::Duration RandomPart(absl::Duration whole, absl::BitGenRef random) {
   return whole * absl::uniform_real_distribution<double>(0, 1)(random);
 }
@@ -42,7 +46,7 @@
   EndRounds(now, actions);
   EndSuspicions(now, actions);
   if (now >= m_next_probe) {
-    m_next_probe = std::max(m_next_probe + m_options.probe_period, now);
+    m_next_probe = std::max(m_next_probe + ProbePeriod(), now);
     m_want_all = ++m_periods <= m_options.join_periods;
     for (const InstanceId& peer : PickPeers(1, m_self.id)) {
       StartRound(peer, now, actions);
@@ -183,6 +187,12 @@
   }
 }
 
+absl::Duration Membership::ProbePeriod() const {
+  const bool backlog =
+      m_updates.CountSentLessThan(kFreshSends) > m_options.max_updates;
+  return backlog ? m_options.backlog_period : m_options.probe_period;
+}
+
 size_t Membership::SendLimit() const {
   size_t doublings = 1;
   for (size_t size = m_peers.size(); size > 1; size /= 2) {
--- a/Source/decision/membership.h
+++ b/Source/decision/membership.h
@@ -59,6 +59,10 @@
 
 struct MembershipOptions {
   absl::Duration probe_period = absl::Seconds(1);
+  // Probe period while more updates wait than one message holds, as after the
+  // loss of a data centre. A third of a second keeps the messages of a node
+  // under 12 kB a second.
+  absl::Duration backlog_period = absl::Milliseconds(333);
   // After this time without a reply the indirect probes start.
   absl::Duration probe_timeout = absl::Milliseconds(300);
   // Time for the indirect probes; a late reply counts until it ends.
@@ -198,6 +202,7 @@
                 absl::string_view reason,
                 absl::Time now,
                 std::vector<MembershipAction>* actions);
+  absl::Duration ProbePeriod() const;
   size_t SendLimit() const;
   // Updates for a message to `peer`, the least-sent first.
   std::vector<MemberRecord> TakeUpdates(const InstanceId& peer,
--- a/Source/decision/update_queue.cc
+++ b/Source/decision/update_queue.cc
@@ -43,4 +43,12 @@
   }
 }
 
+size_t UpdateQueue::CountSentLessThan(size_t sends) const {
+  size_t count = 0;
+  for (const auto& [id, pending] : m_pending) {
+    count += pending.sent < sends ? 1 : 0;
+  }
+  return count;
+}
+
 }  // namespace heatherwick
--- a/Source/decision/update_queue.h
+++ b/Source/decision/update_queue.h
@@ -28,6 +28,8 @@
             std::vector<MemberRecord>* out);
 
   size_t Size() const { return m_pending.size(); }
+  // Updates that were sent fewer than `sends` times.
+  size_t CountSentLessThan(size_t sends) const;
 
  private:
   struct Pending {
