membership: Spread failed reads of the list over the whole fleet

Cause: after an outage of the store began, up to 508 of 3,900 instances read the list in one second (ListSchedule_StoreReturnsAfterAnHour_ReadsAreSpread failed with that figure), because the first back-off was one second. Change: the back-off is at least the time in which every instance may read once at 100 reads a second, as known from the last list.

--- a/Source/decision/list_schedule.cc
+++ b/Source/decision/list_schedule.cc
@@ -50,10 +50,11 @@
 }
 
 void ListSchedule::OnReadFailed(absl::Time now) {
+  const absl::Duration doubled =
+      m_options.shortest_period *
+      (int64_t{1} << std::min(m_failures, kLargestBackOffShift));
   const absl::Duration back_off =
-      std::min(m_options.longest_back_off,
-               m_options.shortest_period *
-                   (int64_t{1} << std::min(m_failures, kLargestBackOffShift)));
+      std::min(m_options.longest_back_off, std::max(doubled, FairShare()));
   ++m_failures;
   // Pollers keep trying at their period, so that the return of the store is
   // noticed early; everyone else waits longer with each failure.
@@ -87,9 +88,12 @@
 }
 
 absl::Duration ListSchedule::Spread() const {
-  return std::max(m_options.shortest_silence,
-                  absl::Seconds(static_cast<double>(m_instances) /
-                                m_options.reads_per_second));
+  return std::max(m_options.shortest_silence, FairShare());
+}
+
+absl::Duration ListSchedule::FairShare() const {
+  return absl::Seconds(static_cast<double>(m_instances) /
+                       m_options.reads_per_second);
 }
 
 absl::Duration ListSchedule::RandomPart(absl::Duration whole) {
--- a/Source/decision/list_schedule.h
+++ b/Source/decision/list_schedule.h
@@ -64,6 +64,8 @@
   absl::Duration Period() const;
   absl::Duration Silence() const;
   absl::Duration Spread() const;
+  // Time in which every instance may read once.
+  absl::Duration FairShare() const;
   absl::Duration RandomPart(absl::Duration whole);
 
   const ListScheduleOptions m_options;
