members: Keep cross-region probes and list reads within a node's budget

Cause: one random probe to another region every 10 s opens, in about ten hours, a channel to each of the 3,342 instances of other regions, 62 kB for both ends by heatherwick-slopes connections: 206 MB of the 128 MB that a node may use. A poller's 4 kB a second for the list came on top of about 9 kB for status calls and membership, of 12 kB. Change: the channel of a probe to another region is given back after the probe; the list is read at 2 kB a second, which is every 120 s at 3,900 instances and each second up to 28. Measured: no run over seven regions with real channels was made; the tests of the schedule and of the manager pass, with the schedule's expectation moved from one read a minute to one in two minutes. Conclusion: both fit; see docs/CAPACITY.md for the sums.

--- a/Source/decision/list_schedule.h
+++ b/Source/decision/list_schedule.h
@@ -30,9 +30,9 @@
   absl::Duration start_spread = absl::Milliseconds(500);
   absl::Duration longest_period = absl::Minutes(2);
   // The list has no pages and no versions, so a poller spaces its reads to
-  // stay within this rate: a third of a node's control budget.
-  double bytes_per_second = 4000;
-  double bytes_per_instance = 60;
+  // stay within this rate: a sixth of a node's control budget.
+  double bytes_per_second = 2000;
+  double bytes_per_instance = 70;
   // Without news for this many periods, and at least shortest_silence, an
   // instance that is no poller reads the list itself.
   double silent_periods = 3;
--- a/Source/runtime/member_manager.cc
+++ b/Source/runtime/member_manager.cc
@@ -282,7 +282,9 @@
   if (answered) {
     NoteSheet(reply.responder(), reply.sheet_version());
   }
-  bool served = false;
+  // Random probes of other regions would open a channel to every instance in
+  // time, at about 60 kB for both ends; the request path opens its own.
+  bool keep_channel = false;
   Handle([&](Membership* membership, absl::Time now,
              Actions* actions) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
     if (answered) {
@@ -294,10 +296,12 @@
       membership->OnProbeFailed(call->send.probe, now, actions);
     }
     const MemberRecord* member = membership->Find(call->send.to);
-    served = member != nullptr && (member->state == MemberState::kAlive ||
-                                   member->state == MemberState::kSuspect);
+    keep_channel = member != nullptr &&
+                   member->region == m_options.own.region &&
+                   (member->state == MemberState::kAlive ||
+                    member->state == MemberState::kSuspect);
   });
-  if (!answered && !served) {
+  if (!keep_channel) {
     m_options.channels->Remove(call->send.address);
   }
   absl::MutexLock lock(&m_mutex);
