load: Measure reads of the list at a mass start and after an outage

Cause: docs/CAPACITY.md has to say what the platform's store bears when thousands of instances start at once or when it returns after an hour. Change: heatherwick-slopes list-reads drives ListSchedule against a store of 2,000 reads a second, with no news between instances.

--- a/Source/programs/heatherwick_slopes.cc
+++ b/Source/programs/heatherwick_slopes.cc
@@ -9,6 +9,7 @@
 
 #include "Source/base/settings.h"
 #include "Source/load/slopes/connection_slope.h"
+#include "Source/load/slopes/list_slope.h"
 #include "Source/load/slopes/membership_slope.h"
 #include "Source/load/slopes/placement_slope.h"
 #include "Source/load/slopes/slope_report.h"
@@ -30,7 +31,8 @@
 
 heatherwick::SettingsParser MakeParser(Flags* flags) {
   heatherwick::SettingsParser parser(
-      "heatherwick-slopes placement|membership|spread|regions|mass-change|"
+      "heatherwick-slopes "
+      "placement|membership|spread|regions|mass-change|list-reads|"
       "connections|connection-server",
       "Measures how cost grows with size.");
   parser.AddUint("seed", "N", "seed of all randomness", 0, UINT32_MAX,
@@ -64,6 +66,8 @@
     heatherwick::MeasureRegions(flags.seed, report);
   } else if (slope == "mass-change") {
     heatherwick::MeasureMassChange(flags.seed, report);
+  } else if (slope == "list-reads") {
+    heatherwick::MeasureListReads(flags.seed, report);
   } else if (slope == "connections") {
     heatherwick::MeasureConnections(flags.port, flags.server_pid,
                                     flags.connections, report);
