membership: Start the refresh of known states at a random member

Cause: the refresh slots of all instances began at the first name, so that instances that started together repeated the same members at the same time, and a change that a region had missed during a cut waited for the next turn. Change: each instance starts its turn at a random member. The time is shorter but has no hard bound.

--- a/Source/decision/membership.cc
+++ b/Source/decision/membership.cc
@@ -171,6 +171,13 @@
 void Membership::AddRefresh(std::vector<MemberRecord>* updates) {
   const size_t limit = std::min(m_options.max_updates,
                                 updates->size() + m_options.refresh_updates);
+  if (m_refreshed.empty() && !m_members.empty()) {
+    // Instances that start together must not all repeat the same members.
+    const size_t index = absl::uniform_int_distribution<size_t>(
+        0, m_members.size() - 1)(m_random);
+    m_refreshed =
+        std::next(m_members.begin(), static_cast<ptrdiff_t>(index))->first;
+  }
   size_t tried = 0;
   while (updates->size() < limit && tried < m_members.size()) {
     auto next = m_members.upper_bound(m_refreshed);
