--- a/Tests/process/cluster.sh
+++ b/Tests/process/cluster.sh
@@ -3,7 +3,8 @@
 # they run a platform, proxies and groups of targets as processes on free
 # ports of 127.0.0.1, and end the processes they started, by id.
 #
-# The caller sets BUILD to the build directory.
+# The caller sets BUILD to the build directory. KEEP_LOGS names a directory
+# that receives the processes' logs.
 
 set -euo pipefail
 
@@ -25,6 +26,10 @@
     kill -KILL "${PID[$name]}" 2>/dev/null || true
   done
   wait 2>/dev/null || true
+  if [ -n "${KEEP_LOGS:-}" ]; then
+    mkdir -p "$KEEP_LOGS"
+    cp "$WORK"/*.log "$KEEP_LOGS"
+  fi
   rm -rf "$WORK"
 }
 trap clean_up EXIT
