--- a/Source/decision/pending_request.h
+++ b/Source/decision/pending_request.h
@@ -30,10 +30,17 @@
   absl::Time latest_start;
   DurationEstimate estimate;
   bool is_long = false;  // Expected to run many times longer than the rest.
+  // Of a new shape: may turn out to be long, and is kept from the last slot
+  // for short work as if it were.
+  bool may_be_long = false;
   // Target that refused the request last, and when.
   TargetId refused_by;
   absl::Time refused_at = absl::InfinitePast();
 
+  // A statement of a transaction that is open already.
+  bool IsStep() const {
+    return request.transaction != 0 && !request.begins_transaction;
+  }
   Lane GetLane() const {
     return request.request_class == RequestClass::kAgedRead ? Lane::kReplica
                                                             : Lane::kPrimary;
--- a/Source/load/measurement.cc
+++ b/Source/load/measurement.cc
@@ -1,6 +1,7 @@
 #include "Source/load/measurement.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Source/load/simulation.h"
 #include "Source/load/workload.h"
@@ -129,6 +130,19 @@
   return seconds;
 }
 
+double EarlyRefusals(const std::vector<Outcome>& outcomes, Window window) {
+  double refused = 0;
+  double early = 0;
+  for (const Outcome& outcome : outcomes) {
+    if (outcome.kind == OutcomeKind::kRefused &&
+        window.Contains(outcome.arrived)) {
+      refused += 1;
+      early += outcome.ended - outcome.arrived <= kEarlyRefusal ? 1 : 0;
+    }
+  }
+  return refused == 0 ? 1.0 : early / refused;
+}
+
 void MeasureSwing(const Experiment& experiment,
                   const SchedulerOptions& policies,
                   Figures* figures) {
@@ -157,10 +171,22 @@
     figures->orders_refused_beside_browsing +=
         outcome.refused_beside_browsing ? 1 : 0;
   }
+  figures->early_refusals = EarlyRefusals(result.outcomes, at_peak);
   figures->most_statements = result.most_statements;
   figures->swing = SwingSeconds(result.outcomes, LengthOf(phases));
 }
 
+absl::Duration Quantile(std::vector<absl::Duration> values, double quantile) {
+  if (values.empty()) {
+    return absl::ZeroDuration();
+  }
+  const auto place =
+      values.begin() +
+      static_cast<ptrdiff_t>(static_cast<double>(values.size() - 1) * quantile);
+  std::nth_element(values.begin(), place, values.end());
+  return *place;
+}
+
 absl::Duration ShortWait(const std::vector<Outcome>& outcomes) {
   std::vector<absl::Duration> waits;
   for (const Outcome& outcome : outcomes) {
@@ -168,13 +194,7 @@
       waits.push_back(outcome.started - outcome.arrived);
     }
   }
-  if (waits.empty()) {
-    return absl::ZeroDuration();
-  }
-  const auto p99 =
-      waits.begin() + static_cast<ptrdiff_t>(waits.size() * 99 / 100);
-  std::nth_element(waits.begin(), p99, waits.end());
-  return *p99;
+  return Quantile(std::move(waits), 0.99);
 }
 
 void MeasureLongWork(const Experiment& experiment,
@@ -201,24 +221,24 @@
   }
 }
 
-absl::Duration DemandOf(const Experiment& experiment,
-                        const std::vector<PlannedRequest>& plan,
-                        uint32_t caller,
-                        Window window) {
-  absl::Duration round_trip;
-  for (const ExperimentTarget& target : experiment.targets) {
-    round_trip += 2 * LatencyTo(experiment, target) /
-                  static_cast<double>(experiment.targets.size());
-  }
+// What a caller received of the lesser of its demand and its share.
+double ServiceOf(const Experiment& experiment,
+                 const std::vector<Outcome>& outcomes,
+                 uint32_t caller,
+                 Window window) {
+  absl::Duration received;
   absl::Duration demand;
-  for (const PlannedRequest& planned : plan) {
-    if (planned.caller == caller && window.Contains(planned.at)) {
-      for (const PlannedStatement& statement : planned.statements) {
-        demand += statement.service + round_trip;
-      }
+  for (const Outcome& outcome : outcomes) {
+    if (outcome.caller != caller || !window.Contains(outcome.arrived)) {
+      continue;
     }
+    const bool done = outcome.kind == OutcomeKind::kDone;
+    received += done ? outcome.occupancy : absl::ZeroDuration();
+    demand += done ? outcome.occupancy : outcome.missed;
   }
-  return demand;
+  const absl::Duration share =
+      window.Length() * TotalSlots(experiment) * ShareOf(experiment, caller);
+  return absl::FDivDuration(received, std::min(demand, share));
 }
 
 void MeasureRush(const Experiment& experiment,
@@ -236,19 +256,9 @@
   const Window window = {kWarmUp, kRushTime};
   figures->worst_caller_service = 1.0;
   for (uint32_t caller = 1; caller < experiment.callers.size(); ++caller) {
-    std::vector<Outcome> own;
-    for (const Outcome& outcome : result.outcomes) {
-      if (outcome.caller == caller) {
-        own.push_back(outcome);
-      }
-    }
-    const double slots = TotalSlots(experiment);
-    const double received = UsefulSlotTime(own, window, slots);
-    const double demand = absl::FDivDuration(
-        DemandOf(experiment, plan, caller, window), window.Length() * slots);
     figures->worst_caller_service =
         std::min(figures->worst_caller_service,
-                 received / std::min(demand, ShareOf(experiment, caller)));
+                 ServiceOf(experiment, result.outcomes, caller, window));
   }
 }
 
@@ -313,6 +323,7 @@
 Figures Measure(const Experiment& experiment,
                 const SchedulerOptions& policies) {
   Figures figures;
+  figures.slots = experiment.slots;
   MeasureSwing(experiment, policies, &figures);
   MeasureLongWork(experiment, policies, &figures);
   MeasureRush(experiment, policies, &figures);
--- a/Source/runtime/grpc_target_connection.cc
+++ b/Source/runtime/grpc_target_connection.cc
@@ -60,26 +60,17 @@
   {
     absl::MutexLock lock(&m_mutex);
     if (!m_broken) {
-      m_next_request = std::move(request);
-      m_next_request.set_sequence(++m_sequence);
-      m_has_next_request = true;
+      m_request = std::move(request);
+      m_request.set_sequence(++m_sequence);
       m_done = std::move(done);
-      if (!m_writing) {
-        StartNextWrite();
-      }
+      m_writing = true;
+      StartWrite(&m_request);
       return;
     }
   }
   done(BrokenConnection("it was closed before the statement"));
 }
 
-void GrpcTargetConnection::StartNextWrite() {
-  m_request = std::move(m_next_request);
-  m_has_next_request = false;
-  m_writing = true;
-  StartWrite(&m_request);
-}
-
 void GrpcTargetConnection::Close() {
   Break();
 }
@@ -106,7 +97,13 @@
   Callback done;
   {
     absl::MutexLock lock(&m_mutex);
-    if (m_done != nullptr && reply.sequence() == m_sequence) {
+    if (m_done == nullptr || reply.sequence() != m_sequence) {
+      reply.Clear();
+    } else if (m_writing) {
+      m_early_reply = std::move(reply);
+      StartRead(&m_reply);
+      return;
+    } else {
       done = std::exchange(m_done, nullptr);
     }
   }
@@ -123,10 +120,18 @@
     Break();
     return;
   }
-  absl::MutexLock lock(&m_mutex);
-  m_writing = false;
-  if (m_has_next_request && !m_broken) {
-    StartNextWrite();
+  Callback done;
+  std::optional<proto::StatementReply> reply;
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_writing = false;
+    reply = std::exchange(m_early_reply, std::nullopt);
+    if (reply) {
+      done = std::exchange(m_done, nullptr);
+    }
+  }
+  if (done != nullptr) {
+    done(*std::move(reply));
   }
 }
 
