runtime: Reach a transaction's home although its earlier process is dead

A restarted instance serves as home before its peers have replaced the record of its dead process. They told the callers of its transactions that the home was gone, and did not pass on the ROLLBACK either; the transactions stayed open for 30 s and held all connections but one, so that every BEGIN waited until its deadline. Only a record of the handle's own incarnation counts now.

--- a/Source/runtime/routed_request.cc
+++ b/Source/runtime/routed_request.cc
@@ -131,7 +131,11 @@
     proto::ListMembersReply members;
     m_context->members->ListMembers(&members);
     for (const proto::MemberUpdate& member : members.members()) {
-      if (member.id() == transaction_home && member.state() != proto::DEAD) {
+      // The record of an earlier process says nothing about the one that
+      // runs the transaction.
+      const bool gone = member.state() == proto::DEAD &&
+                        member.incarnation() == TransactionIncarnation();
+      if (member.id() == transaction_home && !gone) {
         // The handle names the incarnation that runs the transaction; this
         // instance may not have heard of it yet.
         m_candidates.push_back({member.id(), member.address(),
