runtime: Close a home that is not first after 2 s without requests

Three instances can be home of one group within 10 s of a start or a restart, and each kept its 7 of 16 connections for 10 s; the target refused the third ('the target has reached its connection limit'). Views of the membership differ for less than 2 s.

--- a/Source/runtime/home_directory.cc
+++ b/Source/runtime/home_directory.cc
@@ -18,7 +18,7 @@
 constexpr size_t kCandidates = 3;
 // A home that another instance is first for keeps its connections for this
 // long, since requests may still arrive on older membership views.
-constexpr absl::Duration kIdleLimit = absl::Seconds(10);
+constexpr absl::Duration kIdleLimit = absl::Seconds(2);
 
 // Members of `region`, or all when it has none.
 std::vector<const MemberInfo*> MembersOfRegion(
