--- a/Source/base/settings.cc
+++ b/Source/base/settings.cc
@@ -269,6 +269,14 @@
   return help;
 }
 
+std::vector<std::string> SettingsParser::Names() const {
+  std::vector<std::string> names;
+  for (const SettingSpec& spec : m_specs) {
+    names.push_back(spec.name);
+  }
+  return names;
+}
+
 std::string SettingsParser::VariableName(absl::string_view setting) {
   return absl::StrCat(
       kVariablePrefix,
--- a/Source/base/settings.h
+++ b/Source/base/settings.h
@@ -86,6 +86,9 @@
 
   std::string Help() const;
 
+  // Names of the settings, in the order in which they were added.
+  std::vector<std::string> Names() const;
+
   static std::string VariableName(absl::string_view setting);
   // The process's environment.
   static Environment ProcessEnvironment();
--- a/Tests/runtime/sheet_manager_test.cc
+++ b/Tests/runtime/sheet_manager_test.cc
@@ -2,13 +2,12 @@
 
 #include "Source/runtime/sheet_manager.h"
 
-#include <map>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "Source/proto/peer.grpc.pb.h"
+#include "Tests/runtime/memory_store.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "doctest/doctest.h"
@@ -27,71 +26,6 @@
       share, "\n");
 }
 
-class MemoryStore : public StoreClient {
- public:
-  Result<TableRow> ReadRow(const std::string& key, absl::Duration) override {
-    absl::MutexLock lock(&m_mutex);
-    return m_down ? Result<TableRow>(Down()) : m_rows[key];
-  }
-  Result<uint64_t> WriteRow(const std::string& key,
-                            uint64_t expected_version,
-                            const std::string& value,
-                            absl::Duration) override {
-    absl::MutexLock lock(&m_mutex);
-    if (m_down) {
-      return Down();
-    }
-    TableRow& row = m_rows[key];
-    if (row.version != expected_version) {
-      return Error{ErrorKind::kConflict, "other version", ""};
-    }
-    row = {row.version + 1, value};
-    if (key == kSheetHeadRow && std::exchange(m_lose_head_answer, false)) {
-      m_down = m_down_after_loss;
-      return Down();
-    }
-    return row.version;
-  }
-  Status PutObject(const std::string& name,
-                   const std::string& content,
-                   absl::Duration) override {
-    absl::MutexLock lock(&m_mutex);
-    if (m_down) {
-      return Down();
-    }
-    m_objects[name] = content;
-    return std::monostate{};
-  }
-  Result<std::string> GetObject(const std::string& name,
-                                absl::Duration) override {
-    absl::MutexLock lock(&m_mutex);
-    return m_down ? Result<std::string>(Down()) : m_objects[name];
-  }
-  Result<std::vector<ListedInstance>> ListInstances(absl::Duration) override {
-    return Down();
-  }
-
-  void SetDown(bool down) {
-    absl::MutexLock lock(&m_mutex);
-    m_down = down;
-  }
-  void LoseNextHeadAnswer(bool then_down) {
-    absl::MutexLock lock(&m_mutex);
-    m_lose_head_answer = true;
-    m_down_after_loss = then_down;
-  }
-
- private:
-  static Error Down() { return {ErrorKind::kUnavailable, "down", ""}; }
-
-  absl::Mutex m_mutex;
-  bool m_down ABSL_GUARDED_BY(m_mutex) = false;
-  bool m_lose_head_answer ABSL_GUARDED_BY(m_mutex) = false;
-  bool m_down_after_loss ABSL_GUARDED_BY(m_mutex) = false;
-  std::map<std::string, TableRow> m_rows ABSL_GUARDED_BY(m_mutex);
-  std::map<std::string, std::string> m_objects ABSL_GUARDED_BY(m_mutex);
-};
-
 // Serves a manager's sheet to the other instances.
 class PeerServer : public proto::Peer::Service {
  public:
