client: Pass refused instances at once and bound sheets and stops

Cause: the command line waited 2 s for each instance that refused the connection; a stop of the sheet manager could wait for three peers; a sheet above gRPC's message size could be accepted and then fetched by nobody. Change: the client ends the wait at the first failed connection attempt; the manager's thread checks for a stop between calls; the parser refuses sheets above 3 MiB (one for 22,000 targets, generated, has 1.7 MiB).

--- a/Source/client/instance_client.cc
+++ b/Source/client/instance_client.cc
@@ -15,6 +15,20 @@
 
 constexpr absl::Duration kLongestConnect = absl::Seconds(2);
 
+// Returns whether the channel connects by `deadline`. A refused connection
+// ends the wait at once; the channel itself would go on trying.
+bool Connect(grpc::Channel* channel, absl::Time deadline) {
+  grpc_connectivity_state state = channel->GetState(/*try_to_connect=*/true);
+  while (state != GRPC_CHANNEL_READY &&
+         state != GRPC_CHANNEL_TRANSIENT_FAILURE) {
+    if (!channel->WaitForStateChange(state, absl::ToChronoTime(deadline))) {
+      return false;
+    }
+    state = channel->GetState(/*try_to_connect=*/true);
+  }
+  return state == GRPC_CHANNEL_READY;
+}
+
 }  // namespace
 
 InstanceClient::InstanceClient(std::vector<std::string> addresses,
@@ -27,7 +41,7 @@
     const Channel channel = m_channels.Get(address);
     const absl::Time connected_by =
         absl::Now() + std::min(m_timeout, kLongestConnect);
-    if (!channel->WaitForConnected(absl::ToChronoTime(connected_by))) {
+    if (!Connect(channel.get(), connected_by)) {
       absl::StrAppend(&result.failures, "instance ", address,
                       " cannot be reached; check that it runs\n");
       continue;
--- a/Source/decision/sheet_parser.cc
+++ b/Source/decision/sheet_parser.cc
@@ -31,6 +31,9 @@
 constexpr uint32_t kMostShare = 1000000;
 constexpr absl::Duration kLongestAge = absl::Hours(24);
 constexpr size_t kLongestName = 64;
+// A sheet travels in one message, and gRPC accepts 4 MiB. The target size of
+// 22,000 targets needs about 1.7 MiB.
+constexpr size_t kLargestSheet = 3 << 20;
 constexpr absl::string_view kByteOrderMark = "\xef\xbb\xbf";
 
 enum class Record { kGroup, kTarget, kRead, kRequest, kCaller };
@@ -559,6 +562,13 @@
   if (absl::StartsWith(csv, kByteOrderMark)) {
     csv.remove_prefix(kByteOrderMark.size());
   }
+  if (csv.size() > kLargestSheet) {
+    AddMistake(0, "",
+               absl::StrCat("the sheet has ", csv.size(),
+                            " bytes, more than the limit of ", kLargestSheet,
+                            "; shorten names or remove unused rows"));
+    return std::move(m_mistakes);
+  }
   const CsvText text = ReadRows(csv);
   if (!text.rows.empty()) {
     ReadHeader(text.rows.front());
--- a/Source/runtime/sheet_manager.cc
+++ b/Source/runtime/sheet_manager.cc
@@ -89,6 +89,11 @@
   return m_held;
 }
 
+bool SheetManager::IsStopping() const {
+  absl::ReaderMutexLock lock(&m_mutex);
+  return m_stopping;
+}
+
 SheetSnapshot SheetManager::Current() const {
   const std::shared_ptr<const Held> held = CurrentlyHeld();
   return {held->head.version, held->sheet};
@@ -145,7 +150,7 @@
     }
     m_acceptance.OnTick(m_options.is_poller(), absl::Now(), &actions);
     // Performing an action may add further ones.
-    while (!actions.empty()) {
+    while (!actions.empty() && !IsStopping()) {
       const Actions present = std::exchange(actions, {});
       for (const SheetAction& action : present) {
         Perform(action, &actions);
@@ -212,6 +217,9 @@
   request.set_at_least_version(fetch.at_least_version);
   bool answered = false;
   for (const std::string& address : addresses) {
+    if (IsStopping()) {
+      break;
+    }
     grpc::ClientContext context;
     context.set_deadline(
         absl::ToChronoTime(absl::Now() + m_options.peer_timeout));
--- a/Source/runtime/sheet_manager.h
+++ b/Source/runtime/sheet_manager.h
@@ -48,8 +48,8 @@
  public:
   // Starts the thread.
   explicit SheetManager(SheetManagerOptions options);
-  // Stops the thread, after its call in progress. No other call may be in
-  // progress.
+  // Stops the thread after its present call of the store or of a peer. No
+  // call of this object may be in progress.
   ~SheetManager() override;
 
   SheetSnapshot Current() const override;
@@ -89,6 +89,7 @@
   using Actions = std::vector<SheetAction>;
 
   std::shared_ptr<const Held> CurrentlyHeld() const;
+  bool IsStopping() const;
 
   // On the manager's thread.
   void Run();
--- a/Tests/decision/sheet_parser_test.cc
+++ b/Tests/decision/sheet_parser_test.cc
@@ -154,6 +154,16 @@
         Places{{0, ""}});
 }
 
+// Guards against an accepted sheet that no instance can fetch, because it
+// exceeds the size of a message.
+TEST_CASE_FIXTURE(SheetParserFixture, "SheetParser_LargerThanLimit_IsRefused") {
+  std::string csv = kGoodSheet;
+  csv.append((size_t{3} << 20) - csv.size(), '\n');
+  CHECK(MistakesOf(csv).empty());
+  csv += '\n';
+  CHECK(MistakesOf(csv) == Places{{0, ""}});
+}
+
 // Guards against half a sheet being taken for the whole one after an open
 // quote, and against follow-up mistakes about rows that were not read.
 TEST_CASE_FIXTURE(SheetParserFixture,
