--- a/Tests/scenarios/sheet_world.cc
+++ b/Tests/scenarios/sheet_world.cc
@@ -225,7 +225,7 @@
         [=](std::optional<bool> stored) {
           next(machine->OnContentStored(stored.has_value(), now()));
         });
-  } else if (const auto* row = std::get_if<StoreHistory>(&step.action)) {
+  } else if (const auto* row = std::get_if<StoreHistoryRow>(&step.action)) {
     AtStore<bool>(
         via,
         [this, head = row->head] {
@@ -235,7 +235,7 @@
         [=](std::optional<bool> stored) {
           next(machine->OnHistoryStored(stored.has_value(), now()));
         });
-  } else if (const auto* read = std::get_if<ReadHistory>(&step.action)) {
+  } else if (const auto* read = std::get_if<ReadHistoryRow>(&step.action)) {
     AtStore<SheetHead>(
         via,
         [this, version = read->version] {
