decision: Start one step of a transaction at a time after a refusal

Cause: a refused step was put back in front of its transaction while the step behind it was listed as ready as well, so two steps could start on one connection at the same time. Change: the step behind is taken off the list of ready ones. Conclusion: a fault of the transaction order is removed.

--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -590,7 +590,11 @@
   } else if (!m_budget.TryTake()) {
     Refuse(pending, ErrorKind::kUnavailable, "retry_budget_empty", actions);
   } else if (is_step) {
-    transaction->second.steps.push_front(pending);
+    std::deque<PendingRequest*>& steps = transaction->second.steps;
+    if (!steps.empty()) {
+      m_ready_steps.erase(steps.front()->sequence);
+    }
+    steps.push_front(pending);
     m_expiry.emplace(pending->latest_start, pending->request.id);
     QueueNextStep(transaction->first, transaction->second);
   } else {
