--- a/Source/programs/heatherwick_load.cc
+++ b/Source/programs/heatherwick_load.cc
@@ -1,5 +1,6 @@
 // heatherwick-load: load experiments and loads of real proxies.
 
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <string>
@@ -134,5 +135,10 @@
 }  // namespace heatherwick
 
 int main(int argc, char** argv) {
-  return heatherwick::Main({argv + 1, argv + argc});
+  try {
+    return heatherwick::Main({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::cerr << "heatherwick-load: " << error.what() << "\n";
+    return heatherwick::kExitUsage;
+  }
 }
