runtime: Acknowledge nothing that a replaced primary ran

Cause: two faults found by reading against the models. The position of a statement was raised to one of the current term, also for a plain write of the primary before; its confirmation then said nothing about the write. And a current read whose primary was lost before its reply arrived counted as a read of a replica and was answered without confirmation. Ruled out: comparing target names, because a target can lose and regain the role while a statement runs. Change: each statement remembers the term that it was started in. A reply of another term than the present one is never confirmed but settled; only recorded keys are confirmed by an entry of the current term behind them. Conclusion: the home follows the model's rule, the term in which a statement ran decides.

--- a/Source/runtime/group_home.cc
+++ b/Source/runtime/group_home.cc
@@ -425,6 +425,7 @@
   active.phase = Phase::kRunning;
   active.target = start.target;
   active.connection = start.connection;
+  active.term = start.term;
   active.statement_started = now;
   if (start.term != 0) {
     m_primary_connections.insert(start.connection);
@@ -809,7 +810,9 @@
     active.reply.set_transaction(
         absl::StrCat(m_home_id, "/", active.transaction));
   }
-  const bool on_replica = m_primary != active.target;
+  // By the role at the start: a read that was sent to the primary is
+  // confirmed even when the group has none by now.
+  const bool on_replica = active.term == 0;
   const bool read = operation == proto::READ;
   const bool inside_transaction =
       active.transaction != 0 && operation != proto::COMMIT;
@@ -825,7 +828,7 @@
   }
   const bool proves_itself = operation == proto::WRITE;
   active.phase = Phase::kConfirming;
-  active.position = PositionToConfirm(reply);
+  active.position = PositionToConfirm(active, reply);
   const Position position = active.position;
   const absl::Time deadline = active.deadline;
   m_active[id] = std::move(active);
@@ -855,11 +858,17 @@
 }
 
 Position GroupHome::PositionToConfirm(
+    const ActiveRequest& active,
     const proto::StatementReply& reply) const {
+  if (active.term != m_term) {
+    return {};
+  }
   const Position own = FromProto(reply.position());
-  // An entry of an older term is held for good once an entry of the current
-  // term behind it is. The primary begins its term with an empty entry.
-  return own.term == m_term ? own : std::max(own, m_term_position);
+  const bool recorded_earlier =
+      reply.repeated() || reply.refusal() == proto::KEY_REFUSED;
+  // The primary of this term has the recorded entry in its log, before the
+  // empty entry that begins the term.
+  return recorded_earlier ? std::max(own, m_term_position) : own;
 }
 
 void GroupHome::EndTransaction(TransactionId transaction) {
--- a/Source/runtime/group_home.h
+++ b/Source/runtime/group_home.h
@@ -101,6 +101,8 @@
     TransactionId transaction = 0;
     TargetId target;
     ConnectionId connection = 0;
+    // Term of the primary that runs it; 0 when a replica does.
+    uint64_t term = 0;
     absl::Time statement_started;
     proto::ExecuteReply reply;  // Sent once the position is confirmed.
     Position position;
@@ -187,9 +189,10 @@
                              const proto::StatementReply& reply,
                              absl::Time now)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-  // The position in the current term whose confirmation also confirms the
-  // reply's.
-  Position PositionToConfirm(const proto::StatementReply& reply) const
+  // The position whose confirmation also confirms the reply's; of term 0, which
+  // is never confirmed, when the primary that ran it has been replaced.
+  Position PositionToConfirm(const ActiveRequest& active,
+                             const proto::StatementReply& reply) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void EndTransaction(TransactionId transaction)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/Tests/runtime/group_home_threads_test.cc
+++ b/Tests/runtime/group_home_threads_test.cc
@@ -10,7 +10,7 @@
 
 #include "Source/kernel/shard_map.h"
 #include "Source/runtime/group_home.h"
-#include "Source/runtime/timer_queue.h"
+#include "Tests/runtime/fake_driver.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
@@ -19,76 +19,6 @@
 namespace heatherwick {
 namespace {
 
-// Three targets in one object: "a" leads term 1 and the others hold all that
-// it writes. Answers come from the threads of a timer queue.
-class FakeDriver : public TargetDriver {
- public:
-  void Connect(const std::string& address,
-               absl::Duration /*timeout*/,
-               Opened opened,
-               std::function<void()> /*closed*/) override {
-    Later([this, address, opened] {
-      opened(std::shared_ptr<TargetConnection>(new FakeConnection(this)));
-    });
-  }
-  void ReadStatus(const std::string& address,
-                  absl::Duration /*timeout*/,
-                  Callback<proto::StatusReply> done) override {
-    proto::StatusReply status;
-    status.set_term(1);
-    status.set_primary(address == "a");
-    status.mutable_last()->set_term(1);
-    status.mutable_last()->set_lsn(m_lsn);
-    status.set_age_ms(address == "a" ? 0 : 2);
-    Later([done, status] { done(status); });
-  }
-  void WaitPosition(const std::string& /*address*/,
-                    const proto::WaitPositionRequest& /*request*/,
-                    Callback<proto::WaitPositionReply> done) override {
-    proto::WaitPositionReply reply;
-    reply.set_contained(true);
-    reply.set_term(1);
-    reply.mutable_last()->set_term(1);
-    reply.mutable_last()->set_lsn(m_lsn);
-    Later([done, reply] { done(reply); });
-  }
-  void Fence(const std::string& /*address*/,
-             const proto::FenceRequest& /*request*/,
-             absl::Duration /*timeout*/,
-             Callback<proto::FenceReply> /*done*/) override {}
-  void Promote(const std::string& /*address*/,
-               const proto::PromoteRequest& /*request*/,
-               absl::Duration /*timeout*/,
-               Callback<proto::PromoteReply> /*done*/) override {}
-
- private:
-  class FakeConnection : public TargetConnection {
-   public:
-    explicit FakeConnection(FakeDriver* driver) : m_driver(driver) {}
-    void Execute(proto::StatementRequest request, Callback done) override {
-      proto::StatementReply reply;
-      reply.set_result(request.statement());
-      const bool write = request.operation() == proto::WRITE;
-      reply.mutable_position()->set_term(1);
-      reply.mutable_position()->set_lsn(write ? ++m_driver->m_lsn
-                                              : m_driver->m_lsn.load());
-      m_driver->Later([done, reply] { done(reply); });
-    }
-    void Close() override {}
-
-   private:
-    FakeDriver* const m_driver;
-  };
-
-  void Later(std::function<void()> work) {
-    m_timers[m_next++ % 2].RunAt(absl::Now(), std::move(work));
-  }
-
-  std::atomic<uint64_t> m_lsn{1};
-  std::atomic<uint64_t> m_next{0};
-  TimerQueue m_timers[2];
-};
-
 class GroupHomeThreadsFixture {
  protected:
   GroupHomeThreadsFixture() {
