--- a/Tests/scenarios/fake_target.h
+++ b/Tests/scenarios/fake_target.h
@@ -48,16 +48,17 @@
   bool complete = false;
 };
 
-// Rules of the target that a test may take out to see it fail.
-struct FakeTargetRules {
-  bool fences_writes = true;
+// Rules of the platform that a test may take out to see it fail.
+struct PlatformRules {
   bool checks_keys = true;
   bool checks_position = true;
+  bool grants_once = true;  // A term belongs to one decider.
+  bool conditional_table = true;
 };
 
 class FakeTarget {
  public:
-  FakeTarget(bool primary, absl::Time now, const FakeTargetRules& rules);
+  FakeTarget(bool primary, absl::Time now, const PlatformRules& rules);
 
   FakeReply Write(uint64_t term,
                   const std::string& key,
@@ -100,7 +101,7 @@
               uint64_t write,
               absl::Time now);
 
-  const FakeTargetRules m_rules;
+  const PlatformRules m_rules;
   uint64_t m_term = 1;
   std::string m_decider;
   bool m_primary = false;
--- a/Tests/scenarios/proxy_node.cc
+++ b/Tests/scenarios/proxy_node.cc
@@ -201,7 +201,7 @@
       });
 }
 
-void ProxyNode::Submit(const SessionRequest& request, Done done) {
+void ProxyNode::Submit(const SessionRequest& request, const Done& done) {
   const bool to_replica =
       request.kind == SessionRequest::Kind::kRead && !request.target.empty();
   const auto primary = m_failover->Primary();
@@ -226,7 +226,7 @@
         }
         return at.Read(term, request.min_position, request.max_age, now);
       },
-      [this, request, done](std::optional<FakeReply> reply) {
+      [this, request, done](const std::optional<FakeReply>& reply) {
         OnReply(request, reply, done);
       });
 }
