runtime: Leave a paused home within two seconds

Cause: with the home stopped by SIGSTOP, writes of its groups waited 4.4 s. Its connections stay open, so no forwarded call failed before its deadline; a suspicion was found after 1 s, but the member view was not published anew, since a suspect still may serve; and requests at the paused home waited for their deadlines. Ruled out: a shorter suspicion time, which costs groups at every short pause. Change: an entry counts the calls in progress at each peer and has a peer probed that ended none for 400 ms; a suspicion publishes the view; calls to a suspect are cancelled and settled at the next candidate. Membership_SuspicionBegins_VersionGrows fails without the change.

--- a/Source/decision/membership.cc
+++ b/Source/decision/membership.cc
@@ -269,13 +269,17 @@
 void Membership::Store(const MemberRecord& record, absl::Time now) {
   Entry& entry = m_members[record.id];
   const bool served = MayServe(entry.record);
+  const bool was_suspect = entry.record.state == MemberState::kSuspect;
   const bool moved = entry.record.address != record.address ||
                      entry.record.incarnation != record.incarnation;
   entry.record = record;
   entry.since = now;
   entry.failed_rounds = 0;
   const bool serves = MayServe(record);
-  if (served != serves || (serves && moved)) {
+  // A suspect serves, but only when nobody else does.
+  const bool ranked_anew =
+      moved || was_suspect != (record.state == MemberState::kSuspect);
+  if (served != serves || (serves && ranked_anew)) {
     ++m_version;
   }
   m_peers_stale = true;
--- a/Source/runtime/daemon.cc
+++ b/Source/runtime/daemon.cc
@@ -178,13 +178,25 @@
     const absl::Time now = absl::Now();
     if (now >= next_reconcile) {
       m_homes->Reconcile();
+      CancelCallsToSuspects();
       next_reconcile = now + kReconcilePeriod;
     }
     m_homes->Tick();
+    for (const InstanceId& peer : m_routing.peer_watch.TakeSilent(now)) {
+      m_members->ReportUnreachable(peer);
+    }
     absl::SleepFor(kTickPeriod);
   }
 }
 
+void Daemon::CancelCallsToSuspects() {
+  for (const MemberInfo& member : *m_members->Members()) {
+    if (member.suspect) {
+      m_routing.peer_watch.CancelCalls(member.id);
+    }
+  }
+}
+
 bool Daemon::Drained(absl::Time start) const {
   const absl::Time now = absl::Now();
   const absl::Time last_arrival =
--- a/Source/runtime/daemon.h
+++ b/Source/runtime/daemon.h
@@ -52,6 +52,9 @@
   // Addresses of a few other instances in random order.
   std::vector<std::string> SomePeers() const;
   void RunTicks();
+  // Requests that wait for a suspected instance are settled elsewhere within
+  // their deadlines.
+  void CancelCallsToSuspects();
   // Whether a graceful stop that began at `start` may close the server.
   bool Drained(absl::Time start) const;
 
--- a/Source/runtime/home_directory.cc
+++ b/Source/runtime/home_directory.cc
@@ -3,6 +3,8 @@
 #include "Source/runtime/home_directory.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "Source/decision/placement.h"
@@ -138,8 +140,16 @@
   if (m_draining) {
     return;
   }
+  std::set<std::string> live_regions;
+  for (const MemberInfo& member : *m_applied_members) {
+    live_regions.insert(member.region);
+  }
   for (const auto& [group, row] : snapshot.sheet->groups) {
-    if (m_homes.Find(group) == nullptr && IsFirst(group)) {
+    // Ranking every group at every change in any region would exceed the
+    // processor time that control may take at the target size.
+    const bool other_region = row.region != m_context->self.region &&
+                              live_regions.contains(row.region);
+    if (!other_region && m_homes.Find(group) == nullptr && IsFirst(group)) {
       FindOrCreate(group);
     }
   }
--- a/Source/runtime/routed_request.cc
+++ b/Source/runtime/routed_request.cc
@@ -227,13 +227,19 @@
   } else {
     *forward.mutable_execute() = m_execute;
   }
+  const PeerWatch::CallId call =
+      m_context->peer_watch.OnSent(candidate.id, absl::Now());
   const ForwardMethod method = &Async::Forward;
-  StartUnaryCall<proto::Peer, proto::ForwardRequest, proto::ForwardReply>(
-      channel, method, std::move(forward), m_deadline + kAnswerTime,
-      [self = shared_from_this(),
-       candidate](Result<proto::ForwardReply> result) {
-        self->OnReply(candidate, std::move(result));
-      });
+  CancelCall cancel =
+      StartUnaryCall<proto::Peer, proto::ForwardRequest, proto::ForwardReply>(
+          channel, method, std::move(forward), m_deadline + kAnswerTime,
+          [self = shared_from_this(), candidate,
+           call](Result<proto::ForwardReply> result) {
+            self->m_context->peer_watch.OnEnded(candidate.id, call,
+                                                absl::Now());
+            self->OnReply(candidate, std::move(result));
+          });
+  m_context->peer_watch.OnStarted(candidate.id, call, std::move(cancel));
 }
 
 void RoutedRequest::OnReply(const MemberInfo& candidate,
--- a/Source/runtime/routed_request.h
+++ b/Source/runtime/routed_request.h
@@ -20,6 +20,7 @@
 #include "Source/runtime/channel_pool.h"
 #include "Source/runtime/cluster_view.h"
 #include "Source/runtime/home_directory.h"
+#include "Source/runtime/peer_watch.h"
 #include "Source/runtime/timer_queue.h"
 #include "absl/time/time.h"
 
@@ -35,6 +36,7 @@
   SheetSource* sheets = nullptr;
   ChannelPool* channels = nullptr;
   TimerQueue* timers = nullptr;
+  PeerWatch peer_watch;
   DecisionLog* decision_log = nullptr;
   Metrics* metrics = nullptr;
   std::atomic<uint64_t> in_flight{0};
--- a/Source/runtime/unary_call.h
+++ b/Source/runtime/unary_call.h
@@ -25,21 +25,26 @@
   Reply reply;
 };
 
+// Ends a call early; its callback still runs, with an error. May be called
+// after the call has ended.
+using CancelCall = std::function<void()>;
+
 // `method` is a member of Service::Stub::async_interface. `done` runs on a
 // thread of gRPC; an error is kUnavailable, or kDeadlineExceeded when the
 // deadline passed.
 template <typename Service, typename Request, typename Reply, typename Method>
-void StartUnaryCall(std::shared_ptr<grpc::Channel> channel,
-                    Method method,
-                    Request request,
-                    absl::Time deadline,
-                    std::function<void(Result<Reply>)> done) {
+CancelCall StartUnaryCall(std::shared_ptr<grpc::Channel> channel,
+                          Method method,
+                          Request request,
+                          absl::Time deadline,
+                          std::function<void(Result<Reply>)> done) {
   using Call = UnaryCall<Service, Request, Reply>;
   auto call = std::make_shared<Call>();
   call->stub = Service::NewStub(std::move(channel));
   call->context.set_deadline(absl::ToChronoTime(deadline));
   call->request = std::move(request);
   Call* const raw = call.get();
+  const std::weak_ptr<Call> weak = call;
   std::function<void(grpc::Status)> finished = [call = std::move(call),
                                                 done = std::move(done)](
                                                    const grpc::Status& status) {
@@ -55,6 +60,11 @@
   };
   (raw->stub->async()->*method)(&raw->context, &raw->request, &raw->reply,
                                 std::move(finished));
+  return [weak] {
+    if (const auto running = weak.lock()) {
+      running->context.TryCancel();
+    }
+  };
 }
 
 }  // namespace heatherwick
--- a/Tests/decision/membership_test.cc
+++ b/Tests/decision/membership_test.cc
@@ -150,6 +150,19 @@
   CHECK(m_nodes["c"]->Self().generation >= 1);
 }
 
+// Guards against a view that is not published when a member is suspected:
+// requests then go to a paused home until it counts as dead.
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "Membership_SuspicionBegins_VersionGrows") {
+  StartAll(3);
+  const uint64_t version = m_nodes["a"]->Version();
+  m_cut = [](const auto&, const auto& to) { return to == "c"; };
+  while (m_nodes["a"]->Find("c")->state != MemberState::kSuspect) {
+    Run(absl::Milliseconds(50));
+  }
+  CHECK(m_nodes["a"]->Version() > version);
+}
+
 TEST_CASE_FIXTURE(MembershipFixture,
                   "Membership_MemberCrashes_IsDeadEverywhere") {
   StartAll(6);
