tests: Let the member test's instances take newer sheets only

Cause: MemberManager_NewerSheetAtOne_IsReportedToAll failed in about one of three runs since a peer's sheet version is reported at every probe, not only when it is newer. The test's callback then also took older versions, which no sheet manager does. Ruled out: a fault of the member manager; the reports are the intended ones. Change: the test's instances keep the greater version. The check, that the newer version reaches all four, is as strict as before. Conclusion: the test follows the interface.

--- a/Tests/runtime/member_manager_test.cc
+++ b/Tests/runtime/member_manager_test.cc
@@ -67,7 +67,13 @@
     options.channels = &m_channels;
     options.own_sheet_version = [this] { return m_sheet.load(); };
     options.on_peer_sheet = [this](const InstanceId&, const std::string&,
-                                   uint64_t version) { m_sheet = version; };
+                                   uint64_t version) {
+      // Every version of a peer is reported; a sheet manager takes none that
+      // is older than its own.
+      uint64_t own = m_sheet;
+      while (own < version && !m_sheet.compare_exchange_weak(own, version)) {
+      }
+    };
     m_server = builder.BuildAndStart();
     options.own.address = absl::StrCat("127.0.0.1:", port);
     store->Add(options.own);
