runtime: Move transactions and messages out of the group's home

Change: TransactionTable holds handles, ownership and idleness; target_messages translates statuses and statements. Conclusion: behaviour as before, apart from the dropped transactions.

--- a/Source/runtime/group_home.cc
+++ b/Source/runtime/group_home.cc
@@ -6,11 +6,8 @@
 #include <atomic>
 #include <utility>
 
-#include "Source/base/hash.h"
-#include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
+#include "Source/runtime/target_messages.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/strip.h"
 #include "absl/time/clock.h"
 
 namespace heatherwick {
@@ -20,7 +17,6 @@
 constexpr absl::Duration kConnectTimeout = absl::Seconds(1);
 constexpr absl::Duration kStatusTimeout = absl::Milliseconds(500);
 constexpr absl::Duration kFenceTimeout = absl::Milliseconds(500);
-constexpr absl::Duration kTransactionIdleLimit = absl::Seconds(30);
 // A statement that is this late is stuck on a target that is gone.
 constexpr absl::Duration kStuckAfterDeadline = absl::Seconds(1);
 // Attempts to settle one request before its outcome is reported as unknown.
@@ -35,50 +31,6 @@
   return absl::StrCat(self.id, "/", self.incarnation, "/", next++);
 }
 
-Position FromProto(const proto::Position& position) {
-  return {position.term(), position.lsn()};
-}
-
-void ToProto(Position position, proto::Position* out) {
-  out->set_term(position.term);
-  out->set_lsn(position.lsn);
-}
-
-TargetStatus FromProto(const proto::StatusReply& reply) {
-  TargetStatus status;
-  status.incarnation = reply.incarnation();
-  status.term = reply.term();
-  status.primary = reply.primary();
-  status.last = FromProto(reply.last());
-  status.age = absl::Milliseconds(reply.age_ms());
-  status.primary_silent = absl::Milliseconds(reply.primary_silent_ms());
-  status.leaving = reply.leaving();
-  return status;
-}
-
-// The target refused the statement before execution; another target or a
-// later moment may accept it.
-bool MayRequeue(proto::Refusal refusal) {
-  switch (refusal) {
-    case proto::NOT_PRIMARY:
-    case proto::TERM_FENCED:
-    case proto::TOO_OLD:
-    case proto::BEHIND_POSITION:
-    case proto::NO_SLOT:
-    case proto::NO_CONNECTION:
-    case proto::LEAVING:
-      return true;
-    default:
-      return false;
-  }
-}
-
-Error TransactionLost(absl::string_view why) {
-  return {ErrorKind::kTransactionLost,
-          absl::StrCat("the transaction is gone and was rolled back: ", why),
-          "begin a new transaction"};
-}
-
 Error RefusalError(const RefuseRequest& refuse, const GroupName& group) {
   return {
       refuse.kind,
@@ -133,6 +85,7 @@
       m_home_id(NewHomeId(context->self)),
       m_scheduler(std::move(scheduler)),
       m_failover(FailoverOptions(), m_random),
+      m_transactions(m_home_id),
       m_last_used(absl::Now()) {}
 
 void GroupHome::OnSheet(const SheetSnapshot& snapshot) {
@@ -243,31 +196,22 @@
 Status GroupHome::AdmitTransaction(ActiveRequest* active, absl::Time now) {
   const proto::ExecuteRequest& request = active->request;
   if (request.operation() == proto::BEGIN) {
-    active->transaction = ++m_last_transaction;
-    m_transactions[active->transaction] = {request.caller(), now, true};
+    active->transaction = m_transactions.Open(request.caller(), now);
     return std::monostate{};
   }
   if (request.transaction().empty()) {
     return std::monostate{};
   }
-  absl::string_view number = request.transaction();
-  TransactionId transaction = 0;
-  if (!absl::ConsumePrefix(&number, absl::StrCat(m_home_id, "/")) ||
-      !absl::SimpleAtoi(number, &transaction)) {
-    return TransactionLost("its home has been replaced");
+  const Result<TransactionId> claimed =
+      m_transactions.Claim(request.transaction(), request.caller());
+  if (!Ok(claimed)) {
+    return ErrorOf(claimed);
   }
-  const auto open = m_transactions.find(transaction);
-  if (open == m_transactions.end() || open->second.caller != request.caller() ||
-      !m_scheduler->HasTransaction(transaction)) {
+  if (!m_scheduler->HasTransaction(ValueOf(claimed))) {
+    m_transactions.Close(ValueOf(claimed));
     return TransactionLost("its connection was closed");
   }
-  if (open->second.busy) {
-    return Error{ErrorKind::kInvalidArgument,
-                 "another statement of the transaction is still running",
-                 "send the statements of a transaction one after the other"};
-  }
-  open->second.busy = true;
-  active->transaction = transaction;
+  active->transaction = ValueOf(claimed);
   return std::monostate{};
 }
 
@@ -307,12 +251,12 @@
       operation == proto::COMMIT || operation == proto::WRITE || active.resolve;
   if (active.transaction != 0 && operation != proto::COMMIT) {
     // Nothing of an uncommitted transaction takes effect.
-    EndTransaction(active.transaction);
+    m_transactions.Close(active.transaction);
     ReplyError(&active, proto::NOT_RUN, TransactionLost(what), deferred);
     return;
   }
   if (operation == proto::COMMIT) {
-    EndTransaction(active.transaction);
+    m_transactions.Close(active.transaction);
     active.transaction = 0;
   }
   const bool keyed = !active.request.request_key().empty();
@@ -430,23 +374,10 @@
   if (start.term != 0) {
     m_primary_connections.insert(start.connection);
   }
-  proto::StatementRequest statement;
-  statement.set_operation(active.request.operation());
+  proto::StatementRequest statement =
+      MakeStatement(active.request, active.rules, start.term,
+                    active.token.PositionOf(m_group));
   statement.set_resolve(active.resolve);
-  statement.set_statement(active.request.statement());
-  statement.set_term(start.term);
-  ToProto(active.token.PositionOf(m_group), statement.mutable_min_position());
-  if (active.request.operation() == proto::READ &&
-      active.rules.request_class == RequestClass::kAgedRead) {
-    statement.set_has_max_age(true);
-    statement.set_max_age_ms(
-        static_cast<uint32_t>(absl::ToInt64Milliseconds(active.rules.max_age)));
-  }
-  if (active.request.operation() == proto::WRITE ||
-      active.request.operation() == proto::COMMIT) {
-    statement.set_key(
-        IdempotencyKey(active.request.caller(), active.request.request_key()));
-  }
   Log("route", start.reason,
       {{"request", absl::StrCat(start.request)},
        {"caller", active.request.caller()},
@@ -484,9 +415,9 @@
   if (active.request.operation() == proto::BEGIN ||
       (active.transaction != 0 &&
        !m_scheduler->HasTransaction(active.transaction))) {
-    EndTransaction(active.transaction);
+    m_transactions.Close(active.transaction);
   } else if (active.transaction != 0) {
-    m_transactions[active.transaction].busy = false;
+    m_transactions.Release(active.transaction, absl::Now());
   }
   ReplyError(&active, active.may_have_run ? proto::UNKNOWN : proto::NOT_RUN,
              RefusalError(refuse, m_group), deferred);
@@ -735,8 +666,7 @@
   finished.transaction_open = reply.in_transaction();
   const bool in_transaction =
       active.transaction != 0 && active.request.operation() != proto::BEGIN;
-  if (reply.refusal() == proto::NOT_PRIMARY ||
-      reply.refusal() == proto::TERM_FENCED) {
+  if (DeniesRole(reply.refusal())) {
     std::vector<FailoverAction> doubts;
     m_failover.OnPrimaryDoubted(now, &doubts);
     Apply(doubts, now, runner.work());
@@ -807,8 +737,7 @@
     active.reply.set_outcome(proto::DONE);
   }
   if (operation == proto::BEGIN) {
-    active.reply.set_transaction(
-        absl::StrCat(m_home_id, "/", active.transaction));
+    active.reply.set_transaction(m_transactions.HandleOf(active.transaction));
   }
   // By the role at the start: a read that was sent to the primary is
   // confirmed even when the group has none by now.
@@ -842,18 +771,13 @@
 void GroupHome::FinishTransactionStep(const ActiveRequest& active,
                                       const proto::StatementReply& reply,
                                       absl::Time now) {
-  const auto open = m_transactions.find(active.transaction);
-  if (open == m_transactions.end()) {
-    return;
-  }
-  open->second.busy = false;
-  open->second.last_used = now;
   if (!reply.in_transaction()) {
-    m_transactions.erase(open);
+    m_transactions.Close(active.transaction);
   } else if (active.done == nullptr) {
-    // The caller has been told that the step failed; the transaction must
-    // not stay open behind its back.
-    open->second.last_used = absl::InfinitePast();
+    // The caller has been told that the step failed and will not go on.
+    m_transactions.Abandon(active.transaction);
+  } else {
+    m_transactions.Release(active.transaction, now);
   }
 }
 
@@ -871,10 +795,6 @@
   return recorded_earlier ? std::max(own, m_term_position) : own;
 }
 
-void GroupHome::EndTransaction(TransactionId transaction) {
-  m_transactions.erase(transaction);
-}
-
 void GroupHome::OnStatusReply(const TargetId& target,
                               Result<proto::StatusReply> result) {
   DeferredRunner runner;
@@ -885,15 +805,11 @@
   if (Ok(result)) {
     const proto::StatusReply& status = ValueOf(result);
     m_statuses[target] = status;
-    health.reachable = true;
-    health.leaving = status.leaving();
-    health.age = absl::Milliseconds(status.age_ms());
-    health.last = FromProto(status.last());
-    health.queued = status.queued();
+    health = HealthOf(status);
     if (status.primary() && status.term() == m_term) {
       m_term_position = std::max(m_term_position, health.last);
     }
-    m_failover.OnStatus(target, FromProto(status), now, &actions);
+    m_failover.OnStatus(target, StatusOf(status), now, &actions);
   } else {
     m_failover.OnStatusFailed(target, now, &actions);
   }
@@ -949,14 +865,11 @@
 }
 
 void GroupHome::ExpireTransactions(absl::Time now, Deferred* deferred) {
-  std::vector<TransactionId> idle;
-  for (const auto& [id, open] : m_transactions) {
-    if (!open.busy && now - open.last_used >= kTransactionIdleLimit) {
-      idle.push_back(id);
-    }
-  }
-  for (const TransactionId id : idle) {
-    m_transactions.erase(id);
+  const auto exists = [this](TransactionId transaction)
+                          ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+                            return m_scheduler->HasTransaction(transaction);
+                          };
+  for (const TransactionId id : m_transactions.TakeIdle(now, exists)) {
     Log("abandon_transaction", "idle", {{"transaction", absl::StrCat(id)}});
     std::vector<SchedulerAction> actions;
     m_scheduler->AbandonTransaction(id, now, &actions);
@@ -996,7 +909,7 @@
 
 size_t GroupHome::Active() const {
   absl::MutexLock lock(&m_mutex);
-  return m_active.size() + m_transactions.size();
+  return m_active.size() + m_transactions.Size();
 }
 
 absl::Time GroupHome::LastUsed() const {
--- a/Source/runtime/group_home.h
+++ b/Source/runtime/group_home.h
@@ -29,6 +29,7 @@
 #include "Source/runtime/cluster_view.h"
 #include "Source/runtime/request_rules.h"
 #include "Source/runtime/target_driver.h"
+#include "Source/runtime/transaction_table.h"
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -108,12 +109,6 @@
     Position position;
   };
 
-  struct OpenTransaction {
-    CallerName caller;
-    absl::Time last_used;
-    bool busy = false;  // A statement of it is active.
-  };
-
   struct Connection {
     TargetId target;
     std::shared_ptr<TargetConnection> stream;  // Null while it opens.
@@ -194,8 +189,6 @@
   Position PositionToConfirm(const ActiveRequest& active,
                              const proto::StatementReply& reply) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-  void EndTransaction(TransactionId transaction)
-      ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void ExpireRequests(absl::Time now, Deferred* deferred)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
   void ExpireTransactions(absl::Time now, Deferred* deferred)
@@ -243,11 +236,9 @@
   bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
 
   RequestId m_last_request ABSL_GUARDED_BY(m_mutex) = 0;
-  TransactionId m_last_transaction ABSL_GUARDED_BY(m_mutex) = 0;
   absl::flat_hash_map<RequestId, ActiveRequest> m_active
       ABSL_GUARDED_BY(m_mutex);
-  absl::flat_hash_map<TransactionId, OpenTransaction> m_transactions
-      ABSL_GUARDED_BY(m_mutex);
+  TransactionTable m_transactions ABSL_GUARDED_BY(m_mutex);
   absl::flat_hash_map<ConnectionId, Connection> m_connections
       ABSL_GUARDED_BY(m_mutex);
   absl::Time m_last_used ABSL_GUARDED_BY(m_mutex);
