decision: Know a replica's position between two status reports

A session's read after its own write, or after a read at the other replica, met replicas whose known position was up to 250 ms old, and went to the primary. Change: the scheduler learns positions from the replies of reads (applied) and of waits (received; used only at replicas that are at most 100 ms old). The status names the applied end of the log beside the received one. Two new scheduler tests: ReplicaShowedPosition fails when received positions are ignored, LaggingReplicaReceivedPosition when the age is not regarded.

--- a/Source/decision/group_scheduler.h
+++ b/Source/decision/group_scheduler.h
@@ -63,11 +63,15 @@
   DataCentreName own_data_centre;
 };
 
+// What a target's position covers. A lagging replica applies its log later
+// than it receives it, and reads see only what is applied.
+enum class PositionKind { kReceived, kApplied };
+
 struct TargetHealth {
   bool reachable = false;
   bool leaving = false;
   absl::Duration age;   // Zero at the primary.
-  Position last;        // End of its log.
+  Position applied;     // End of the log that reads see.
   uint32_t queued = 0;  // Statements that wait inside the target.
 };
 
@@ -153,6 +157,14 @@
                               const TargetHealth& health,
                               absl::Time now,
                               std::vector<SchedulerAction>* actions) = 0;
+  // The target has shown between two health reports that its log reaches
+  // `last`: in the reply of a read (applied) or of a wait for a position
+  // (received). Reports are up to a status period old, which is long for a
+  // session that reads its own write.
+  virtual void OnTargetPosition(const TargetId& target,
+                                PositionKind kind,
+                                Position last,
+                                absl::Time now) = 0;
   // Time that the confirmation of a write takes at present; a write that
   // cannot be confirmed by its deadline is refused.
   virtual void OnCommitDelay(absl::Duration delay) = 0;
--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -12,6 +12,9 @@
 constexpr absl::Duration kAgeMargin = absl::Milliseconds(5);
 // Covers the time that a pull and a status report take to arrive.
 constexpr absl::Duration kPositionMargin = absl::Milliseconds(5);
+// A replica of at most this age applies what it receives without delay; an
+// idle one reaches it between two pulls.
+constexpr absl::Duration kPromptAge = absl::Milliseconds(100);
 
 // Connections left to callers without a transaction, at most.
 constexpr size_t kPinsLeft = 2;
@@ -127,10 +130,21 @@
     return;
   }
   target->OnHealth(health, now);
-  m_positions.OnSeen(health.last, now);
+  m_positions.OnSeen(health.applied, now);
   Dispatch(now, actions);
 }
 
+void PolicyGroupScheduler::OnTargetPosition(const TargetId& id,
+                                            PositionKind kind,
+                                            Position last,
+                                            absl::Time now) {
+  TargetState* target = FindTarget(id);
+  if (target != nullptr) {
+    target->OnPosition(kind, last);
+    m_positions.OnSeen(last, now);
+  }
+}
+
 void PolicyGroupScheduler::OnCommitDelay(absl::Duration delay) {
   m_commit_delay = delay;
 }
@@ -410,13 +424,14 @@
                                          Position position,
                                          absl::Time now) const {
   const TargetHealth& health = target.Health();
-  if (health.last >= position) {
+  if (health.applied >= position ||
+      (target.Received() >= position && health.age <= kPromptAge)) {
     return true;
   }
   // The report is up to a status period old. While the group has a primary, a
   // replica that follows its term goes on pulling, so it holds by now what
   // existed one age ago.
-  return m_primary.has_value() && health.last.term == position.term &&
+  return m_primary.has_value() && health.applied.term == position.term &&
          m_positions.ExistedAt(position) + health.age + kPositionMargin <= now;
 }
 
--- a/Source/decision/policy_group_scheduler.h
+++ b/Source/decision/policy_group_scheduler.h
@@ -51,6 +51,10 @@
                       const TargetHealth& health,
                       absl::Time now,
                       Actions* actions) override;
+  void OnTargetPosition(const TargetId& target,
+                        PositionKind kind,
+                        Position last,
+                        absl::Time now) override;
   void OnCommitDelay(absl::Duration delay) override;
   void OnRequest(const ScheduledRequest& request,
                  absl::Time now,
--- a/Source/decision/target_state.cc
+++ b/Source/decision/target_state.cc
@@ -47,10 +47,22 @@
       unfit.at = now;
     }
   }
+  if (health.applied.term != m_health.applied.term) {
+    m_received = {};  // A new term may cut off the end of the log.
+  }
   m_health = health;
   m_health_at = now;
 }
 
+void TargetState::OnPosition(PositionKind kind, Position last) {
+  if (last.term != m_health.applied.term) {
+    return;
+  }
+  Position* const known =
+      kind == PositionKind::kApplied ? &m_health.applied : &m_received;
+  *known = std::max(*known, last);
+}
+
 absl::Duration TargetState::AgeAt(absl::Time now) const {
   return m_health.age + (now - m_health_at);
 }
--- a/Source/decision/target_state.h
+++ b/Source/decision/target_state.h
@@ -49,6 +49,10 @@
   bool IsRemoved() const { return m_removed; }
 
   void OnHealth(const TargetHealth& health, absl::Time now);
+  // Raises the known ends of the target's log within its term.
+  void OnPosition(PositionKind kind, Position last);
+  // End of its received log, as far as it has shown it in this term.
+  Position Received() const { return m_received; }
   const TargetHealth& Health() const { return m_health; }
   absl::Time HealthAt() const { return m_health_at; }
   absl::Duration AgeAt(absl::Time now) const;
@@ -105,6 +109,7 @@
   bool m_same_data_centre = false;
   bool m_removed = false;
   TargetHealth m_health;
+  Position m_received;
   absl::Time m_health_at = absl::InfinitePast();
   absl::Time m_leaving_since = absl::InfiniteFuture();
   uint32_t m_running = 0;
--- a/Source/load/simulation.cc
+++ b/Source/load/simulation.cc
@@ -358,7 +358,7 @@
   TargetHealth health;
   health.reachable = true;
   health.age = status.age;
-  health.last = status.last;
+  health.applied = status.last;
   const absl::Time now = m_events.Now();
   const TargetId& id = m_targets[target]->Id();
   m_controller.OnStatus(id, status, now, &m_failover_actions);
--- a/Source/runtime/group_home.cc
+++ b/Source/runtime/group_home.cc
@@ -543,6 +543,8 @@
     std::vector<CommitAction> actions;
     if (Ok(result)) {
       const proto::WaitPositionReply& reply = ValueOf(result);
+      self->m_scheduler->OnTargetPosition(wait.target, PositionKind::kReceived,
+                                          FromProto(reply.last()), now);
       self->m_tracker.OnPositionReport(wait.target, wait.wait, reply.term(),
                                        FromProto(reply.last()), now, &actions);
     } else {
@@ -666,6 +668,10 @@
   finished.transaction_open = reply.in_transaction();
   const bool in_transaction =
       active.transaction != 0 && active.request.operation() != proto::BEGIN;
+  if (reply.refusal() == proto::REFUSAL_NONE && active.term == 0) {
+    m_scheduler->OnTargetPosition(active.target, PositionKind::kApplied,
+                                  FromProto(reply.position()), now);
+  }
   if (DeniesRole(reply.refusal())) {
     std::vector<FailoverAction> doubts;
     m_failover.OnPrimaryDoubted(now, &doubts);
@@ -807,7 +813,7 @@
     m_statuses[target] = status;
     health = HealthOf(status);
     if (status.primary() && status.term() == m_term) {
-      m_term_position = std::max(m_term_position, health.last);
+      m_term_position = std::max(m_term_position, FromProto(status.last()));
     }
     m_failover.OnStatus(target, StatusOf(status), now, &actions);
   } else {
--- a/Source/runtime/target_messages.cc
+++ b/Source/runtime/target_messages.cc
@@ -32,7 +32,7 @@
   health.reachable = true;
   health.leaving = reply.leaving();
   health.age = absl::Milliseconds(reply.age_ms());
-  health.last = FromProto(reply.last());
+  health.applied = FromProto(reply.applied());
   health.queued = reply.queued();
   return health;
 }
--- a/Tests/StandIns/target_state.cc
+++ b/Tests/StandIns/target_state.cc
@@ -252,6 +252,7 @@
   reply->set_decider(m_decider);
   reply->set_primary(m_primary);
   *reply->mutable_last() = m_log.End();
+  *reply->mutable_applied() = m_log.AppliedEnd();
   reply->set_age_ms(ToMilliseconds(Age(now)));
   if (!m_primary) {
     reply->set_primary_silent_ms(ToMilliseconds(now - m_heard_primary));
--- a/Tests/decision/group_scheduler_random_test.cc
+++ b/Tests/decision/group_scheduler_random_test.cc
@@ -155,7 +155,7 @@
     health.reachable = Below(10) != 0;
     health.leaving = Below(10) == 0;
     health.age = absl::Milliseconds(static_cast<int64_t>(Below(1000)));
-    health.last = {m_term, 50 + Below(100)};
+    health.applied = {m_term, 50 + Below(100)};
     m_scheduler->OnTargetHealth(AnyTarget(), health, m_now, &m_actions);
   }
 
--- a/Tests/decision/group_scheduler_test.cc
+++ b/Tests/decision/group_scheduler_test.cc
@@ -44,7 +44,7 @@
     health.reachable = true;
     health.leaving = leaving;
     health.age = age;
-    health.last = {4, 100};
+    health.applied = {4, 100};
     m_scheduler->OnTargetHealth(target, health, m_now, &m_actions);
   }
 
@@ -211,6 +211,28 @@
   CHECK(TargetOf(Send(read)) == "p");
 }
 
+// Guards against sending a session's reads to the primary for up to a status
+// period after its write, although a replica has shown that it holds it.
+TEST_CASE_FIXTURE(GroupSchedulerFixture,
+                  "GroupScheduler_ReplicaShowedPosition_ServesSession") {
+  ScheduledRequest read = MakeRequest(RequestClass::kAgedRead);
+  read.min_position = {4, 101};
+  m_scheduler->OnTargetPosition("r2", PositionKind::kReceived, {4, 101}, m_now);
+  CHECK(TargetOf(Send(read)) == "r2");
+}
+
+// Guards against reads that a lagging replica refuses: it has received the
+// session's write and applies it later.
+TEST_CASE_FIXTURE(GroupSchedulerFixture,
+                  "GroupScheduler_LaggingReplicaReceivedPosition_UsesPrimary") {
+  SetHealth("r1", absl::Seconds(1));
+  SetHealth("r2", absl::Seconds(1));
+  ScheduledRequest read = MakeRequest(RequestClass::kAgedRead);
+  read.min_position = {4, 101};
+  m_scheduler->OnTargetPosition("r2", PositionKind::kReceived, {4, 101}, m_now);
+  CHECK(TargetOf(Send(read)) == "p");
+}
+
 // Guards against new work on a leaving target, and against cutting off what
 // runs there.
 TEST_CASE_FIXTURE(GroupSchedulerFixture,
