--- a/Source/decision/admit_all.cc
+++ b/Source/decision/admit_all.cc
@@ -1,3 +1,5 @@
+// Admission without an estimate.
+
 #include "Source/decision/admit_all.h"
 
 #include "Source/kernel/registry.h"
--- a/Source/decision/ahead_of_need_connections.cc
+++ b/Source/decision/ahead_of_need_connections.cc
@@ -1,3 +1,5 @@
+// The number of connections that are wanted before requests need them.
+
 #include "Source/decision/ahead_of_need_connections.h"
 
 #include <algorithm>
--- a/Source/decision/deadline_admission.cc
+++ b/Source/decision/deadline_admission.cc
@@ -1,3 +1,5 @@
+// Estimates the wait of a request and compares it with its deadline.
+
 #include "Source/decision/deadline_admission.h"
 
 #include <algorithm>
--- a/Source/decision/duration_model.cc
+++ b/Source/decision/duration_model.cc
@@ -1,3 +1,5 @@
+// Smoothed durations and their spread for each shape of statement.
+
 #include "Source/decision/duration_model.h"
 
 #include <algorithm>
--- a/Source/decision/equal_split_connections.cc
+++ b/Source/decision/equal_split_connections.cc
@@ -1,3 +1,5 @@
+// The baseline share of an instance.
+
 #include "Source/decision/equal_split_connections.h"
 
 #include <algorithm>
--- a/Source/decision/fair_priority_queue.cc
+++ b/Source/decision/fair_priority_queue.cc
@@ -1,3 +1,5 @@
+// Choice of the next request by class, service received and duration.
+
 #include "Source/decision/fair_priority_queue.h"
 
 #include <algorithm>
--- a/Source/decision/fifo_queue.cc
+++ b/Source/decision/fifo_queue.cc
@@ -1,3 +1,5 @@
+// Order of arrival.
+
 #include "Source/decision/fifo_queue.h"
 
 #include "Source/kernel/registry.h"
--- a/Source/decision/freshest_idle_reads.cc
+++ b/Source/decision/freshest_idle_reads.cc
@@ -1,3 +1,5 @@
+// The cost of a replica by load, freshness and distance.
+
 #include "Source/decision/freshest_idle_reads.h"
 
 #include <algorithm>
--- a/Source/decision/pending_request.cc
+++ b/Source/decision/pending_request.cc
@@ -1,3 +1,5 @@
+// The targets that have refused a request, each with the time of its refusal.
+
 #include "Source/decision/pending_request.h"
 
 namespace heatherwick {
--- a/Source/decision/policy_group_scheduler.cc
+++ b/Source/decision/policy_group_scheduler.cc
@@ -1,3 +1,5 @@
+// Admission, dispatch, requeueing, transactions and connections of a group.
+
 #include "Source/decision/policy_group_scheduler.h"
 
 #include <algorithm>
--- a/Source/decision/position_timeline.cc
+++ b/Source/decision/position_timeline.cc
@@ -1,3 +1,5 @@
+// Samples of positions with the time at which each was first seen.
+
 #include "Source/decision/position_timeline.h"
 
 #include <algorithm>
--- a/Source/decision/round_robin_reads.cc
+++ b/Source/decision/round_robin_reads.cc
@@ -1,3 +1,5 @@
+// Turns over the targets that satisfy a read.
+
 #include "Source/decision/round_robin_reads.h"
 
 #include "Source/kernel/registry.h"
--- a/Source/decision/service_rate.cc
+++ b/Source/decision/service_rate.cc
@@ -1,3 +1,5 @@
+// Exponentially decayed work served, and the wait of a queue at that rate.
+
 #include "Source/decision/service_rate.h"
 
 #include <algorithm>
--- a/Source/decision/target_state.cc
+++ b/Source/decision/target_state.cc
@@ -1,3 +1,5 @@
+// Fitness, slots and connections of one target.
+
 #include "Source/decision/target_state.h"
 
 #include <algorithm>
--- a/Source/load/decision_rate.cc
+++ b/Source/load/decision_rate.cc
@@ -1,3 +1,5 @@
+// Submits requests to a scheduler whose slots are always busy.
+
 #include "Source/load/decision_rate.h"
 
 #include <array>
--- a/Source/load/experiment.cc
+++ b/Source/load/experiment.cc
@@ -1,3 +1,5 @@
+// Reads and checks the YAML of an experiment.
+
 #include "Source/load/experiment.h"
 
 #include <exception>
--- a/Source/load/fake_target.cc
+++ b/Source/load/fake_target.cc
@@ -1,3 +1,5 @@
+// Execution, replication and faults of the in-process target.
+
 #include "Source/load/fake_target.h"
 
 #include <algorithm>
--- a/Source/load/goals.cc
+++ b/Source/load/goals.cc
@@ -1,3 +1,5 @@
+// Comparison of figures with the bounds of the goals.
+
 #include "Source/load/goals.h"
 
 #include <cmath>
--- a/Source/load/measurement.cc
+++ b/Source/load/measurement.cc
@@ -1,3 +1,5 @@
+// The scenarios of an experiment and the figures that follow from them.
+
 #include "Source/load/measurement.h"
 
 #include <algorithm>
--- a/Source/load/report.cc
+++ b/Source/load/report.cc
@@ -1,3 +1,5 @@
+// Tables, JSON records and plot data.
+
 #include "Source/load/report.h"
 
 #include <algorithm>
--- a/Source/load/simulation.cc
+++ b/Source/load/simulation.cc
@@ -1,3 +1,5 @@
+// The event loop of an experiment in virtual time.
+
 #include "Source/load/simulation.h"
 
 #include <algorithm>
--- a/Source/load/workload.cc
+++ b/Source/load/workload.cc
@@ -1,3 +1,5 @@
+// Drawing of arrivals, callers, kinds and lengths.
+
 #include "Source/load/workload.h"
 
 #include <algorithm>
