--- a/Tests/runtime/group_home_test.cc
+++ b/Tests/runtime/group_home_test.cc
@@ -1,37 +1,17 @@
 // Tests that a group's home acknowledges nothing of a replaced primary.
 
-#include "Source/runtime/group_home.h"
-
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 
-#include "Tests/runtime/fake_driver.h"
+#include "Tests/runtime/group_home_fixture.h"
 #include "doctest/doctest.h"
 
 namespace heatherwick {
 namespace {
 
-class GroupHomeFixture {
+class GroupHomeFixture : public GroupHomeFixtureBase {
  protected:
-  GroupHomeFixture() {
-    auto sheet = std::make_shared<Sheet>();
-    sheet->groups["g"] = {"g", "r", {"a", "b", "c"}};
-    for (const char* id : {"a", "b", "c"}) {
-      sheet->targets[id] = {id, "g", "dc", id, 2, 16};
-    }
-    sheet->callers["shop"] = {"shop", 1};
-    m_context.self = {"i", "127.0.0.1:1", "dc", "r", "1", false};
-    m_context.driver = &m_driver;
-    m_context.decision_log = &m_log;
-    m_context.metrics = &m_metrics;
-    auto created = GroupHome::Create(&m_context, "g");
-    REQUIRE(Ok(created));
-    m_home = ValueOf(created);
-    m_home->OnSheet({1, sheet});
-  }
-
   // Ticks until `condition` holds; false after five seconds.
   template <typename Condition>
   bool TickUntil(Condition condition) {
@@ -64,11 +44,6 @@
                     });
   }
 
-  FakeDriver m_driver;
-  DecisionLog m_log{DecisionLogLevel::kOff, 1};
-  Metrics m_metrics;
-  HomeContext m_context;
-  std::shared_ptr<GroupHome> m_home;
   std::shared_ptr<std::atomic<int>> m_outcome =
       std::make_shared<std::atomic<int>>(proto::OUTCOME_UNSPECIFIED);
 };
--- a/Tests/runtime/group_home_threads_test.cc
+++ b/Tests/runtime/group_home_threads_test.cc
@@ -9,8 +9,7 @@
 #include <vector>
 
 #include "Source/kernel/shard_map.h"
-#include "Source/runtime/group_home.h"
-#include "Tests/runtime/fake_driver.h"
+#include "Tests/runtime/group_home_fixture.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
@@ -19,24 +18,9 @@
 namespace heatherwick {
 namespace {
 
-class GroupHomeThreadsFixture {
+class GroupHomeThreadsFixture : public GroupHomeFixtureBase {
  protected:
   GroupHomeThreadsFixture() {
-    auto sheet = std::make_shared<Sheet>();
-    sheet->groups["g"] = {"g", "r", {"a", "b", "c"}};
-    for (const char* id : {"a", "b", "c"}) {
-      sheet->targets[id] = {id, "g", "dc", id, 2, 16};
-    }
-    sheet->read_kinds["browse"] = {"browse", absl::Seconds(30)};
-    sheet->callers["shop"] = {"shop", 1};
-    m_context.self = {"i", "127.0.0.1:1", "dc", "r", "1", false};
-    m_context.driver = &m_driver;
-    m_context.decision_log = &m_log;
-    m_context.metrics = &m_metrics;
-    auto created = GroupHome::Create(&m_context, "g");
-    REQUIRE(Ok(created));
-    m_home = ValueOf(created);
-    m_home->OnSheet({1, sheet});
     m_ticks = std::thread([this] {
       while (!m_stop) {
         m_home->Tick();
@@ -75,11 +59,6 @@
     }
   }
 
-  FakeDriver m_driver;
-  DecisionLog m_log{DecisionLogLevel::kOff, 1};
-  Metrics m_metrics;
-  HomeContext m_context;
-  std::shared_ptr<GroupHome> m_home;
   std::atomic<bool> m_stop{false};
   std::atomic<int> m_right{0};
   std::thread m_ticks;
