--- a/Tests/runtime/group_home_threads_test.cc
+++ b/Tests/runtime/group_home_threads_test.cc
@@ -69,6 +69,7 @@
   constexpr int kThreads = 4;
   constexpr int kRequests = 200;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([this, thread] { Send(thread, kRequests); });
   }
@@ -82,9 +83,11 @@
 // Guards against a lookup that uses a value while another thread removes it.
 TEST_CASE("ShardMap_ConcurrentRemoval_KeepsValuesInUse") {
   ShardMap<int, std::string> map;
+  constexpr int kThreads = 4;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<size_t> length{0};
-  for (int thread = 0; thread < 4; ++thread) {
+  for (int thread = 0; thread < kThreads; ++thread) {
     threads.emplace_back([&map, &length] {
       for (int i = 0; i < 2000; ++i) {
         const auto value = map.FindOrCreate(
@@ -97,7 +100,7 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
-  CHECK(length == 4U * 2000 * 5);
+  CHECK(length == kThreads * 2000U * 5);
 }
 
 }  // namespace
--- a/Tests/runtime/tsan_mutex.cc
+++ b/Tests/runtime/tsan_mutex.cc
@@ -7,6 +7,8 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
+// The linker gives these names.
+// NOLINTBEGIN(bugprone-reserved-identifier)
 extern "C" {
 
 void AnnotateIgnoreReadsBegin(const char* file, int line);
@@ -47,3 +49,4 @@
 }
 
 }  // extern "C"
+// NOLINTEND(bugprone-reserved-identifier)
