client: Wait for instances that are only listed, print metric names plainly

Cause: sheet wait reported success while an instance that is listed but not yet heard of had no sheet; its page says that only leaving and dead ones are left out. stats printed the escapes of JSON pointers (requests~1done).

--- a/Source/client/cluster_commands.cc
+++ b/Source/client/cluster_commands.cc
@@ -2,6 +2,8 @@
 
 #include "Source/client/command.h"
 #include "Source/proto/target.pb.h"
+#include "absl/strings/str_replace.h"
+#include "absl/strings/string_view.h"
 
 namespace heatherwick {
 
@@ -135,9 +137,11 @@
   Table table{{"statistic", "value"}, {}};
   const nlohmann::ordered_json values = json.flatten();
   for (const auto& [path, value] : values.items()) {
-    // Paths are JSON pointers: "/counters/requests~1done".
-    const auto pointer = nlohmann::ordered_json::json_pointer(path);
-    table.rows.push_back({pointer.to_string().substr(1), value});
+    // Paths are JSON pointers, which escape the "/" of a metric's label:
+    // "/counters/requests~1done".
+    const std::string name =
+        absl::StrReplaceAll(absl::string_view(path).substr(1), {{"~1", "/"}});
+    table.rows.push_back({name, value});
   }
   PrintTable(table, context.global.output, context.out);
   return ExitCode::kDone;
--- a/Source/client/sheet_commands.cc
+++ b/Source/client/sheet_commands.cc
@@ -330,8 +330,11 @@
   std::string state;  // "in_force", "older" or "no_answer"
 };
 
+// Also an instance that is listed and has not been heard of yet: it may serve
+// callers already.
 bool MayServe(const proto::MemberUpdate& member) {
-  return member.state() == proto::ALIVE || member.state() == proto::SUSPECT;
+  return member.state() != proto::LEAVING_STATE &&
+         member.state() != proto::DEAD;
 }
 
 // Asks each member for the version that it has in force.
