--- /dev/null
+++ b/Source/gateway/asio_event_loop.cc
@@ -0,0 +1,68 @@
+// Timers of Boost.Asio follow the steady clock, whatever the time of day does.
+
+#include "Source/gateway/asio_event_loop.h"
+
+#include <time.h>
+
+#include <utility>
+
+#include "boost/asio/post.hpp"
+#include "boost/asio/steady_timer.hpp"
+
+namespace heatherwick {
+namespace {
+
+class AsioTimer : public Timer {
+ public:
+  AsioTimer(boost::asio::io_context* context,
+            absl::Duration delay,
+            std::function<void()> task)
+      : m_state(std::make_shared<State>(*context)) {
+    m_state->task = std::move(task);
+    m_state->timer.expires_after(absl::ToChronoNanoseconds(delay));
+    m_state->timer.async_wait(
+        [state = m_state](const boost::system::error_code& error) {
+          if (!error && state->task) {
+            const auto due = std::move(state->task);
+            state->task = nullptr;
+            due();
+          }
+        });
+  }
+  ~AsioTimer() override {
+    m_state->task = nullptr;
+    m_state->timer.cancel();
+  }
+
+ private:
+  struct State {
+    explicit State(boost::asio::io_context& context) : timer(context) {}
+    boost::asio::steady_timer timer;
+    std::function<void()> task;  // Empty once run or cancelled.
+  };
+
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace
+
+AsioEventLoop::AsioEventLoop(boost::asio::io_context* context)
+    : m_context(context) {}
+
+absl::Time AsioEventLoop::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return absl::TimeFromTimespec(now);
+}
+
+std::unique_ptr<Timer> AsioEventLoop::RunAfter(absl::Duration delay,
+                                               std::function<void()> task) {
+  return std::make_unique<AsioTimer>(
+      m_context, std::max(delay, absl::ZeroDuration()), std::move(task));
+}
+
+void AsioEventLoop::Post(std::function<void()> task) {
+  boost::asio::post(*m_context, std::move(task));
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/gateway/gateway.h
@@ -0,0 +1,149 @@
+// Routes callers' statements to targets: knows the configuration, the listed
+// targets and their connections, and decides for each waiting statement which
+// target serves it. Runs on the event loop's thread.
+
+#ifndef SOURCE_GATEWAY_GATEWAY_H_
+#define SOURCE_GATEWAY_GATEWAY_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Source/base/decision_log.h"
+#include "Source/base/metrics.h"
+#include "Source/gateway/caller_session.h"
+#include "Source/gateway/configuration.h"
+#include "Source/gateway/event_loop.h"
+#include "Source/gateway/leadership_manager.h"
+#include "Source/gateway/read_evidence.h"
+#include "Source/gateway/target_pool.h"
+
+namespace heatherwick {
+
+class Gateway : public GroupAccess, public PoolObserver {
+ public:
+  Gateway(DataCentreName data_centre,
+          EventLoop* loop,
+          TargetDriver* driver,
+          Metrics* metrics,
+          DecisionLog* decisions);
+  ~Gateway() override;
+
+  void SetLeadership(LeadershipManager* leadership);
+  void Start();
+
+  // Keeps the newest version; an older one is ignored.
+  void OnConfiguration(Configuration configuration);
+  // The whole list of targets as of now.
+  void OnTargets(std::vector<ListedTarget> targets);
+
+  bool Configured() const { return m_configuration.version > 0; }
+  uint64_t ConfigurationVersion() const { return m_configuration.version; }
+  // True when the instance can serve new callers.
+  bool Ready() const;
+  const Route* FindRoute(const std::string& database) const;
+
+  // New callers are to go elsewhere; those that come are still served.
+  void AnnounceStop() { m_stopping = true; }
+  // Begins a graceful stop: sessions are closed as they become idle.
+  void BeginDrain();
+  // Ends open transactions.
+  void EndTransactions(const std::string& cause);
+  size_t Sessions() const { return m_sessions.size(); }
+  size_t BusySessions() const;
+
+  // For sessions.
+  void AddSession(CallerSession* session);
+  void RemoveSession(CallerSession* session);
+  void Enqueue(CallerSession* session);
+  void Dequeue(CallerSession* session);
+  bool MayAcknowledge(const TargetPool* pool) const;
+  void NoteNotPrimary(const TargetPool* pool);
+  void NotePrimaryAnswer(const TargetPool* pool,
+                         absl::Time sent,
+                         Position position);
+  // A name for the prepared statement that is the same on every connection.
+  std::string TargetPreparedName(StatementKind kind, const std::string& shape);
+  EventLoop* Loop() const { return m_loop; }
+  Metrics* GetMetrics() const { return m_metrics; }
+  DecisionLog* Decisions() const { return m_decisions; }
+  absl::Duration IdleTransactionTimeout() const {
+    return m_configuration.idle_transaction_timeout;
+  }
+
+  // GroupAccess:
+  std::vector<GroupName> Groups() const override;
+  std::vector<ListedTarget> Targets(const GroupName& group) const override;
+  absl::Time LastContact(const GroupName& group,
+                         const TargetId& target) const override;
+  void QueryStatus(
+      const GroupName& group,
+      const TargetId& target,
+      absl::Duration timeout,
+      std::function<void(std::optional<TargetStatus>)> done) override;
+  void Quiesce(const GroupName& group,
+               bool planned,
+               std::function<void()> done) override;
+  void OnLeaderChanged(const GroupName& group) override;
+
+  // PoolObserver:
+  void OnCapacity(TargetPool* pool) override;
+  void OnPosition(TargetPool* pool, Position position) override;
+
+ private:
+  struct Group {
+    std::map<TargetId, std::unique_ptr<TargetPool>> pools;
+    std::list<CallerSession*> waiting;  // By priority, then arrival.
+    ReadEvidence evidence;
+    uint64_t evidence_epoch = 0;
+    bool refreshing = false;
+    bool dispatch_posted = false;
+    std::function<void()> on_quiesced;
+    absl::Time quiesce_limit;
+  };
+
+  void Tick();
+  void TickGroup(const GroupName& name, Group* group);
+  void UpdateLimits();
+  void PostDispatch(const GroupName& name);
+  void Dispatch(const GroupName& name);
+  bool TryServe(const GroupName& name, Group* group, CallerSession* session);
+  bool TryServeAtPrimary(const GroupName& name,
+                         Group* group,
+                         CallerSession* session);
+  bool TryServeAnywhere(const GroupName& name,
+                        Group* group,
+                        CallerSession* session,
+                        Position required);
+  bool ServeOn(TargetPool* pool,
+               CallerSession* session,
+               std::optional<Position> required,
+               bool at_primary);
+  void RefreshEvidence(const GroupName& name, Group* group);
+  void CheckQuiesced(const GroupName& name, Group* group);
+  TargetPool* PrimaryPool(const GroupName& name);
+  size_t WaitingCount(const Group& group) const { return group.waiting.size(); }
+
+  const DataCentreName m_data_centre;
+  EventLoop* const m_loop;
+  TargetDriver* const m_driver;
+  Metrics* const m_metrics;
+  DecisionLog* const m_decisions;
+  LeadershipManager* m_leadership = nullptr;
+  Configuration m_configuration;
+  std::map<GroupName, Group> m_groups;
+  std::set<CallerSession*> m_sessions;
+  std::map<std::string, std::string> m_prepared_names;
+  std::unique_ptr<Timer> m_tick_timer;
+  bool m_stopping = false;
+  bool m_draining = false;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_GATEWAY_GATEWAY_H_
