--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -39,7 +39,11 @@
 TargetPool::~TargetPool() {
   *m_alive = false;
   while (!m_connections.empty()) {
+    const auto on_lost = std::move(m_connections.back()->on_lost);
     Remove(m_connections.back().get());
+    if (on_lost) {
+      on_lost(Error{ErrorKind::kUnavailable, "the target is gone", ""});
+    }
   }
 }
 
@@ -243,8 +247,8 @@
     query->connection = nullptr;
     query->Finish(std::nullopt);
   };
-  query->timer = m_loop->RunAfter(timeout, [this, query]() {
-    if (query->connection != nullptr) {
+  query->timer = m_loop->RunAfter(timeout, [this, query, alive = m_alive]() {
+    if (*alive && query->connection != nullptr) {
       Drop(query->connection);
     }
     const auto keep = query;
