gateway: Bound the openings of target connections

The even shares and bursts of six instances also added up to more than the limit, so that restarted instances found every connection taken for the 3 s that a target keeps those of a machine without power.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -18,16 +18,18 @@
 constexpr absl::Duration kAgeMargin = absl::Milliseconds(150);
 // Evidence is renewed when less than this remains of the allowed age.
 constexpr absl::Duration kRefreshAhead = absl::Milliseconds(500);
+// Between two status queries for evidence, also when they fail.
+constexpr absl::Duration kRefreshPause = absl::Milliseconds(100);
 constexpr absl::Duration kStatusTimeout = absl::Milliseconds(400);
 // A primary that leaves something unanswered for this long is reported.
 constexpr absl::Duration kSilentAfter = absl::Milliseconds(450);
 // A planned change waits this long for open transactions.
 constexpr absl::Duration kPlannedQuiesce = absl::Milliseconds(800);
-// The connection limit leaves this many for status queries.
-constexpr size_t kReservedConnections = 1;
-// An instance opens at most this part of the limit, so that bursts on two
-// instances still fit.
-constexpr size_t kCeilingDivisor = 2;
+// Even shares use half of the limit: when every machine loses power, targets
+// keep its connections for 3 s, and the restarted instances need the rest.
+constexpr size_t kShareDivisor = 2;
+// Connections beyond the share for a burst, given back when idle.
+constexpr size_t kBurstConnections = 2;
 // Expected extra latency of a target in another data centre.
 constexpr absl::Duration kRemotePenalty = absl::Milliseconds(4);
 // Reads prefer replicas: the primary counts as this much busier.
@@ -140,11 +142,10 @@
     const size_t limit = settings == m_configuration.groups.end()
                              ? 1
                              : settings->second.max_connections;
-    const size_t usable =
-        limit > kReservedConnections ? limit - kReservedConnections : limit;
-    const size_t share = std::max<size_t>(1, usable / members);
+    const size_t share =
+        std::max<size_t>(1, limit / kShareDivisor / members);
     for (auto& [id, pool] : group.pools) {
-      pool->SetLimits(share, std::max(share, limit / kCeilingDivisor));
+      pool->SetLimits(share, share + kBurstConnections);
     }
   }
 }
@@ -362,19 +363,21 @@
       return true;
     }
   }
-  for (const auto& [score, pool] : ranked) {
-    pool->EnsureOpening(1);
+  if (!ranked.empty()) {
+    ranked.front().second->EnsureOpening(1);
   }
   return false;
 }
 
 void Gateway::RefreshEvidence(const GroupName& name, Group* group) {
   TargetPool* const pool = PrimaryPool(name);
-  if (group->refreshing || pool == nullptr) {
+  const absl::Time sent = m_loop->Now();
+  if (group->refreshing || pool == nullptr ||
+      sent < group->refreshed + kRefreshPause) {
     return;
   }
   group->refreshing = true;
-  const absl::Time sent = m_loop->Now();
+  group->refreshed = sent;
   const TargetId id = pool->Target().id;
   pool->QueryStatus(
       kStatusTimeout, [this, name, id, sent, alive = m_alive](
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -101,6 +101,7 @@
     ReadEvidence evidence;
     uint64_t evidence_epoch = 0;
     bool refreshing = false;
+    absl::Time refreshed = absl::InfinitePast();
     bool dispatch_posted = false;
     std::function<void()> on_quiesced;
     absl::Time quiesce_limit;
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -17,6 +17,9 @@
 // After a refusal for too many connections only the guaranteed ones are
 // opened for this long.
 constexpr absl::Duration kRefusalPause = absl::Seconds(1);
+// A target keeps the connections of a machine that vanished for 3 s; a
+// refused opening costs it time, so that openings wait between refusals.
+constexpr absl::Duration kRefusalRetry = absl::Milliseconds(150);
 // An opening takes about 12 ms and waits for a slot under load.
 constexpr absl::Duration kOpenTimeout = absl::Milliseconds(800);
 // Connections beyond the guaranteed ones are given back after this.
@@ -124,7 +127,7 @@
     if (error.kind == ErrorKind::kOverloaded) {
       m_last_contact = now;
       m_refused_at = now;
-      m_retry_at = now + kRetryBase;
+      m_retry_at = now + kRefusalRetry;
     } else {
       ++m_failures;
       m_retry_at = now + std::min(kRetryLimit,
@@ -236,8 +239,11 @@
     query->connection->busy = false;
     query->connection = nullptr;
   }
-  const bool opened_for_query = query->connection == nullptr;
-  if (opened_for_query) {
+  if (query->connection == nullptr) {
+    if (m_loop->Now() < m_retry_at) {
+      m_loop->Post([query]() { query->Finish(std::nullopt); });
+      return;
+    }
     Open();
     query->connection = m_connections.back().get();
     query->connection->busy = true;
