--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -255,17 +255,28 @@
   });
 }
 
-void Gateway::Dispatch(const GroupName& name) {
-  Group& group = m_groups[name];
-  for (auto place = group.waiting.begin(); place != group.waiting.end();) {
+void Gateway::ServeWaiting(const GroupName& name, Group* group, bool overdue) {
+  const absl::Time now = m_loop->Now();
+  for (auto place = group->waiting.begin(); place != group->waiting.end();) {
     CallerSession* const session = *place;
-    // Serving removes the session from the list.
     const auto next = std::next(place);
-    if (session->Waiting() == nullptr || TryServe(name, &group, session)) {
-      group.waiting.erase(place);
+    const TargetRequest* const request = session->Waiting();
+    if (request == nullptr ||
+        ((now > request->arrived + request->route.latency_objective) ==
+             overdue &&
+         TryServe(name, group, session))) {
+      group->waiting.erase(place);
     }
     place = next;
   }
+}
+
+void Gateway::Dispatch(const GroupName& name) {
+  Group& group = m_groups[name];
+  // In a backlog, statements that can still meet their latency objective go
+  // before those that cannot.
+  ServeWaiting(name, &group, false);
+  ServeWaiting(name, &group, true);
   CheckQuiesced(name, &group);
 }
 
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -112,6 +112,7 @@
   void UpdateLimits();
   void PostDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
+  void ServeWaiting(const GroupName& name, Group* group, bool overdue);
   bool TryServe(const GroupName& name, Group* group, CallerSession* session);
   bool TryServeAtPrimary(const GroupName& name,
                          Group* group,
