gateway: Extend the lease by what peers have read

Ruled out: refusing at once alone, as the same callers come back; a longer lease, as every failover with a silent member waits for it. Change: instances ask each other over gRPC for the age of their readings and the leader rows; when no member can read the store and none is in a change, their unanimous word extends the lease too. An instance without a lease is not ready, refuses what needs the primary after 60 ms and closes the session.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -23,6 +23,9 @@
 constexpr absl::Duration kStatusTimeout = absl::Milliseconds(400);
 // A primary that leaves something unanswered for this long is reported.
 constexpr absl::Duration kSilentAfter = absl::Milliseconds(450);
+// An instance without a lease refuses what needs the primary after this, and
+// closes the session, so that the caller finds another instance.
+constexpr absl::Duration kIsolatedPatience = absl::Milliseconds(60);
 // A planned change waits this long for open transactions.
 constexpr absl::Duration kPlannedQuiesce = absl::Milliseconds(800);
 // Even shares use half of the limit: when every machine loses power, targets
@@ -127,7 +130,7 @@
 }
 
 bool Gateway::Ready() const {
-  return Configured() && !m_stopping && m_leadership != nullptr;
+  return Configured() && !m_stopping && m_leadership->LeaseValid();
 }
 
 const Route* Gateway::FindRoute(const std::string& database) const {
@@ -415,9 +418,15 @@
     TickGroup(name, &group);
   }
   const absl::Time now = m_loop->Now();
+  const bool isolated = !m_leadership->LeaseValid();
   for (CallerSession* session : std::set(m_sessions)) {
     const TargetRequest* const request = session->Waiting();
-    if (request != nullptr && now >= request->give_up) {
+    if (request != nullptr && isolated &&
+        now >= request->arrived + kIsolatedPatience) {
+      Dequeue(session);
+      session->Refuse(ReplyCode::kBusy, "the instance is cut off");
+      session->CloseIdle();
+    } else if (request != nullptr && now >= request->give_up) {
       Dequeue(session);
       session->Refuse(ReplyCode::kBusy, request->last_refusal.empty()
                                             ? "no target was free in time"
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -95,13 +95,21 @@
                                      EventLoop* loop,
                                      RowStore* store,
                                      PromotionApi* promotions,
-                                     GroupAccess* groups)
+                                     GroupAccess* groups,
+                                     PeerTransport* peers)
     : m_settings(std::move(settings)),
       m_loop(loop),
       m_store(store),
       m_promotions(promotions),
       m_groups(groups),
-      m_view(m_settings.self, m_settings.incarnation) {}
+      m_view(m_settings.self, m_settings.incarnation),
+      m_peer_leases(m_settings.self,
+                    m_settings.incarnation,
+                    loop,
+                    peers,
+                    &m_view,
+                    [this](const RowChanges& changes) { ApplyRows(changes); }) {
+}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
@@ -213,17 +221,13 @@
     SchedulePoll(kPollRetry);
     return;
   }
-  const absl::Time now = m_loop->Now();
   if (!m_store_reachable) {
     m_store_reachable = true;
     LOG(INFO) << "event=dependency_regained dependency=store version="
               << ValueOf(polled).version;
   }
   m_table_read = true;
-  const std::set<GroupName> changed = m_view.Apply(ValueOf(polled), now);
-  for (const GroupName& group : changed) {
-    OnLeaderRow(group);
-  }
+  ApplyRows(ValueOf(polled));
   if (!m_view.OwnRowPresent()) {
     Register();
   }
@@ -236,6 +240,20 @@
   SchedulePoll(absl::ZeroDuration());
 }
 
+void LeadershipManager::ApplyRows(const RowChanges& changes) {
+  for (const GroupName& group : m_view.Apply(changes, m_loop->Now())) {
+    OnLeaderRow(group);
+  }
+}
+
+VouchAnswer LeadershipManager::Vouch(const VouchQuestion& question) const {
+  const bool changing =
+      std::any_of(m_states.begin(), m_states.end(), [](const auto& state) {
+        return state.second->promotion != nullptr;
+      });
+  return m_peer_leases.Answer(question, m_store_reachable, changing);
+}
+
 size_t LeadershipManager::MemberCount() const {
   return std::max(kMinMembers, m_view.Members().size());
 }
@@ -333,6 +351,7 @@
 
 void LeadershipManager::Tick() {
   m_tick_timer = m_loop->RunAfter(kTickPeriod, [this]() { Tick(); });
+  m_peer_leases.Tick();
   if (!m_view.LeaseValid(m_loop->Now())) {
     return;
   }
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -16,6 +16,7 @@
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/leadership_view.h"
+#include "Source/gateway/peer_leases.h"
 #include "Source/gateway/row_store.h"
 #include "Source/gateway/statement.h"
 #include "absl/time/time.h"
@@ -58,7 +59,8 @@
                     EventLoop* loop,
                     RowStore* store,
                     PromotionApi* promotions,
-                    GroupAccess* groups);
+                    GroupAccess* groups,
+                    PeerTransport* peers);
   ~LeadershipManager();
 
   void Start();
@@ -77,6 +79,10 @@
   // The primary refused a write because it does not lead.
   void ReportNotPrimary(const GroupName& group);
 
+  // Answers another instance's question.
+  VouchAnswer Vouch(const VouchQuestion& question) const;
+
+  bool LeaseValid() const { return m_view.LeaseValid(m_loop->Now()); }
   const LeadershipView& View() const { return m_view; }
   // Instances that share the targets' connections, at least 1.
   size_t MemberCount() const;
@@ -89,6 +95,7 @@
 
   void Poll();
   void OnPolled(Result<RowChanges> polled);
+  void ApplyRows(const RowChanges& changes);
   void SchedulePoll(absl::Duration delay);
   void Register();
   void Tick();
@@ -134,6 +141,7 @@
   PromotionApi* const m_promotions;
   GroupAccess* const m_groups;
   LeadershipView m_view;
+  PeerLeases m_peer_leases;
   std::map<GroupName, std::unique_ptr<GroupState>> m_states;
   std::map<GroupName, uint64_t> m_confirmed_epochs;
   std::unique_ptr<Timer> m_poll_timer;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -93,6 +93,8 @@
     next.seen = now;
     next.usable_until = m_as_of + kLeaderLease;
     leader = next;
+    m_leader_rows[row.key] = row;
+    m_leaders_version = std::max(m_leaders_version, row.version);
     changed->insert(std::string(key));
   } else if (key == kDuty && !row.deleted &&
              row.version >= m_duty.row_version) {
@@ -122,6 +124,17 @@
   return found == m_leaders.end() ? *unknown : found->second;
 }
 
+std::vector<StoredRow> LeadershipView::LeaderRowsAfter(
+    uint64_t version) const {
+  std::vector<StoredRow> rows;
+  for (const auto& [key, row] : m_leader_rows) {
+    if (row.version > version) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
 std::vector<InstanceId> LeadershipView::Unconfirmed(const GroupName& group,
                                                     uint64_t epoch) const {
   std::vector<InstanceId> missing;
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -82,6 +82,9 @@
                                       uint64_t epoch) const;
   std::map<InstanceId, Vote> Votes(const GroupName& group) const;
   uint64_t Version() const { return m_version; }
+  // Version of the newest leader row.
+  uint64_t LeadersVersion() const { return m_leaders_version; }
+  std::vector<StoredRow> LeaderRowsAfter(uint64_t version) const;
 
   // Keys and values of rows.
   static std::string MemberKey(const InstanceId& id);
@@ -110,8 +113,10 @@
   const InstanceId m_self;
   const uint64_t m_incarnation;
   uint64_t m_version = 0;
+  uint64_t m_leaders_version = 0;
   absl::Time m_as_of = absl::InfinitePast();
   std::map<GroupName, GroupLeader> m_leaders;
+  std::map<std::string, StoredRow> m_leader_rows;  // As they are stored.
   std::map<InstanceId, MemberRow> m_members;
   std::map<InstanceId, Confirmation> m_confirmations;
   std::map<GroupName, std::map<InstanceId, Vote>> m_votes;
