gateway: Let a burst take one connection beyond the share

Cause: after a loss of power targets keep the old connections for 3 s. With bursts of two, six instances held up to 18 of 16 connections under load, and nothing could be opened until the targets dropped them. Change: a burst takes one connection.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -32,7 +32,7 @@
 // keep its connections for 3 s, and the restarted instances need the rest.
 constexpr size_t kShareDivisor = 2;
 // Connections beyond the share for a burst, given back when idle.
-constexpr size_t kBurstConnections = 2;
+constexpr size_t kBurstConnections = 1;
 // Expected extra latency of a target in another data centre.
 constexpr absl::Duration kRemotePenalty = absl::Milliseconds(4);
 // Reads prefer replicas: the primary counts as this much busier.
