gateway: Test sessions and changes of primary in virtual time; share tokens

The first version of LeadershipManager_TwoPrimariesDie_BothAreReplaced failed: two changes of one holder each took a token of their own, saw the other's newer one and started again without end. All changes of a holder now use its newest token. Ruled out: one change at a time for each holder, which delays the second group.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -145,8 +145,7 @@
     const size_t limit = settings == m_configuration.groups.end()
                              ? 1
                              : settings->second.max_connections;
-    const size_t share =
-        std::max<size_t>(1, limit / kShareDivisor / members);
+    const size_t share = std::max<size_t>(1, limit / kShareDivisor / members);
     for (auto& [id, pool] : group.pools) {
       pool->SetLimits(share, share + kBurstConnections);
     }
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -31,8 +31,7 @@
 
 }  // namespace
 
-class GrpcPeerTransport::Service
-    : public proto::Leadership::CallbackService {
+class GrpcPeerTransport::Service : public proto::Leadership::CallbackService {
  public:
   Service(EventLoop* loop, const Responder* responder)
       : m_loop(loop), m_responder(responder) {}
@@ -42,13 +41,12 @@
                                   proto::VouchReply* reply) override {
     grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
     m_loop->Post([this, request, reply, reactor]() {
-      const VouchAnswer answer = (*m_responder)(
-          {request->instance(), request->incarnation(),
-           request->leaders_version()});
+      const VouchAnswer answer =
+          (*m_responder)({request->instance(), request->incarnation(),
+                          request->leaders_version()});
       reply->set_member_known(answer.member_known);
       reply->set_has_reading(answer.has_reading);
-      reply->set_reading_age_us(
-          absl::ToInt64Microseconds(answer.reading_age));
+      reply->set_reading_age_us(absl::ToInt64Microseconds(answer.reading_age));
       reply->set_leaders_version(answer.leaders_version);
       reply->set_store_unreachable(answer.store_unreachable);
       for (const StoredRow& row : answer.leaders) {
@@ -122,14 +120,13 @@
   Call* const raw = call.get();
   raw->stub->async()->Vouch(
       &raw->context, &raw->request, &raw->reply,
-      [loop = m_loop, call, done = std::move(done)](
-          const grpc::Status& status) {
+      [loop = m_loop, call,
+       done = std::move(done)](const grpc::Status& status) {
         loop->Post([call, done, status]() {
           if (!status.ok()) {
             const bool refused =
                 absl::StrContains(status.error_message(), "refused");
-            done(Error{refused ? ErrorKind::kNotFound
-                               : ErrorKind::kUnavailable,
+            done(Error{refused ? ErrorKind::kNotFound : ErrorKind::kUnavailable,
                        status.error_message(), "check the instance"});
             return;
           }
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -63,7 +63,8 @@
   uint64_t epoch = 0;           // Of the row that announces the change.
   absl::Time published_before;  // The announcement was sent then.
   absl::Time published_after;   // And known to be stored then.
-  uint64_t token = 0;
+  bool published = false;       // The announcement is stored.
+  uint64_t row_version = 0;     // Of the announcement.
   bool quiesced = false;
   absl::Time collecting_since = absl::InfiniteFuture();
   size_t statuses_pending = 0;
@@ -233,7 +234,7 @@
   }
   for (auto& [group, state] : m_states) {
     Promotion* const promotion = state->promotion.get();
-    if (promotion != nullptr && promotion->token != 0) {
+    if (promotion != nullptr && promotion->published) {
       AwaitConfirmations(group, promotion->attempt);
     }
   }
@@ -247,10 +248,9 @@
 }
 
 VouchAnswer LeadershipManager::Vouch(const VouchQuestion& question) const {
-  const bool changing =
-      std::any_of(m_states.begin(), m_states.end(), [](const auto& state) {
-        return state.second->promotion != nullptr;
-      });
+  const bool changing = std::any_of(
+      m_states.begin(), m_states.end(),
+      [](const auto& state) { return state.second->promotion != nullptr; });
   return m_peer_leases.Answer(question, m_store_reachable, changing);
 }
 
@@ -292,7 +292,7 @@
             << (leader.phase == LeaderPhase::kOpen ? "open" : "changing")
             << " primary=" << leader.primary << " holder=" << leader.holder;
   Promotion* const promotion = state.promotion.get();
-  if (promotion != nullptr && promotion->token != 0 &&
+  if (promotion != nullptr && promotion->published &&
       leader.epoch > promotion->epoch) {
     EndChange(group);
   }
@@ -710,8 +710,12 @@
     EndChange(group);
     return;
   }
-  promotion->token = ValueOf(result);
-  m_newest_token = std::max(m_newest_token, promotion->token);
+  // Every change in progress uses the newest token, so that the tokens of
+  // concurrent changes never fall.
+  m_token = std::max(m_token, ValueOf(result));
+  m_token_since = promotion->published_before;
+  promotion->published = true;
+  promotion->row_version = ValueOf(result);
   promotion->published_after = m_loop->Now();
   AwaitConfirmations(group, attempt);
 }
@@ -841,25 +845,22 @@
 void LeadershipManager::SendPromotion(const GroupName& group,
                                       uint64_t attempt) {
   Promotion* const promotion = Current(group, attempt);
-  const DutyRow& duty = m_view.Duty();
-  // The token of this attempt must still be the newest when the order is
-  // sent: nobody takes over before kTakeoverAfter.
-  if (m_loop->Now() > promotion->published_before + kDutyLease ||
-      std::max(m_newest_token, duty.row_version) > promotion->token) {
+  // Nobody takes the duty over before kTakeoverAfter.
+  if (m_loop->Now() > m_token_since + kDutyLease ||
+      m_view.Duty().row_version > m_token) {
     RestartChange(group, attempt, absl::ZeroDuration(), "duty lease is over");
     return;
   }
   promotion->promoted_at = m_loop->Now();
   m_promotions->Promote(
-      group, promotion->candidate, m_settings.self, promotion->token,
-      kPromoteTimeout,
+      group, promotion->candidate, m_settings.self, m_token, kPromoteTimeout,
       [this, group, attempt, alive = m_alive](const Status& status) {
         Promotion* const sent = *alive ? Current(group, attempt) : nullptr;
         if (sent == nullptr) {
           return;
         }
         LOG(INFO) << "event=promotion_ordered group=" << group
-                  << " target=" << sent->candidate << " token=" << sent->token
+                  << " target=" << sent->candidate << " token=" << m_token
                   << " outcome=\""
                   << (Ok(status) ? "accepted" : ErrorOf(status).message)
                   << "\"";
@@ -917,7 +918,7 @@
   const std::string leader_key = LeadershipView::LeaderKey(group);
   const uint64_t version = changing.epoch == promotion->epoch
                                ? changing.row_version
-                               : promotion->token;
+                               : promotion->row_version;
   RowTransaction transaction{
       kTable, {{leader_key, "", version, false}}, {}, {}};
   transaction.writes = {
@@ -927,8 +928,8 @@
     other_changes |= name != group && state->promotion != nullptr;
   }
   const std::string duty_key = LeadershipView::DutyKey();
-  if (!other_changes && m_view.Duty().row_version <= promotion->token) {
-    transaction.expected.push_back({duty_key, "", promotion->token, false});
+  if (!other_changes && m_view.Duty().row_version <= m_token) {
+    transaction.expected.push_back({duty_key, "", m_token, false});
     transaction.writes.push_back(
         {duty_key, LeadershipView::EncodeDuty({}), 0, false});
   }
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -155,7 +155,9 @@
   bool m_confirm_again = false;
   bool m_stopping = false;
   uint64_t m_attempts = 0;
-  uint64_t m_newest_token = 0;  // Highest fencing token of this run.
+  // Newest fencing token of this run, and when it was asked for.
+  uint64_t m_token = 0;
+  absl::Time m_token_since = absl::InfinitePast();
   // Invalid once the manager is destroyed; callbacks of the store check it.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -124,8 +124,7 @@
   return found == m_leaders.end() ? *unknown : found->second;
 }
 
-std::vector<StoredRow> LeadershipView::LeaderRowsAfter(
-    uint64_t version) const {
+std::vector<StoredRow> LeadershipView::LeaderRowsAfter(uint64_t version) const {
   std::vector<StoredRow> rows;
   for (const auto& [key, row] : m_leader_rows) {
     if (row.version > version) {
--- /dev/null
+++ b/Tests/gateway/caller_session_test.cc
@@ -0,0 +1,516 @@
+// Statements of callers through the gateway, with scripted targets.
+
+#include "Source/gateway/caller_session.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Source/gateway/gateway.h"
+#include "Tests/gateway/fake_row_store.h"
+#include "Tests/gateway/virtual_loop.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+// Records commands; the test answers them.
+class ScriptedDriver : public TargetDriver {
+ public:
+  struct Sent {
+    TargetId target;
+    TargetCommand command;
+    ReplyHandler on_reply;
+    int connection = 0;
+  };
+
+  explicit ScriptedDriver(VirtualLoop* loop) : m_loop(loop) {}
+
+  class Link : public TargetLink {
+   public:
+    Link(ScriptedDriver* driver, TargetId target, int number)
+        : m_driver(driver), m_target(std::move(target)), m_number(number) {}
+    void Send(TargetCommand command, ReplyHandler on_reply) override {
+      m_driver->OnSend(
+          {m_target, std::move(command), std::move(on_reply), m_number});
+    }
+    void Close() override { m_driver->closed.push_back(m_number); }
+
+   private:
+    ScriptedDriver* const m_driver;
+    const TargetId m_target;
+    const int m_number;
+  };
+
+  std::unique_ptr<TargetLink> Open(
+      const ListedTarget& target,
+      std::function<void(Result<Position>)> on_open,
+      std::function<void(Error)> on_close) override {
+    const int number = ++m_opened;
+    m_on_close[number] = std::move(on_close);
+    m_loop->Add(absl::Milliseconds(1), [this, number, on_open]() {
+      if (!Closed(number)) {
+        on_open(Position{1, 1});
+      }
+    });
+    return std::make_unique<Link>(this, target.id, number);
+  }
+
+  std::optional<TargetStatus> ParseStatus(const Reply&) override {
+    TargetStatus status;
+    status.primary = true;
+    status.term = 1;
+    status.received = primary_position;
+    return status;
+  }
+
+  bool Closed(int number) const {
+    return std::find(closed.begin(), closed.end(), number) != closed.end();
+  }
+  void Break(int number) {
+    m_on_close[number](Error{ErrorKind::kUnavailable, "reset", ""});
+  }
+
+  Position primary_position{1, 5};
+  std::deque<Sent> sent;  // Without status queries and session setup.
+  std::vector<TargetCommand> setup;
+  std::vector<int> closed;
+  bool hold_setup = false;
+
+ private:
+  void OnSend(Sent command) {
+    Reply reply;
+    reply.position = primary_position;
+    switch (command.command.kind) {
+      case StatementKind::kRead:
+      case StatementKind::kWrite:
+      case StatementKind::kCommit:
+      case StatementKind::kExecute:
+        sent.push_back(std::move(command));
+        return;
+      case StatementKind::kBegin:
+      case StatementKind::kBeginReadOnly:
+        reply.state = TransactionState::kOpen;
+        break;
+      default:
+        break;
+    }
+    if (command.command.kind != StatementKind::kStatus) {
+      setup.push_back(command.command);
+    }
+    m_loop->Add(absl::Milliseconds(1),
+                [this, reply, number = command.connection,
+                 on_reply = std::move(command.on_reply)]() {
+                  if (!Closed(number)) {
+                    on_reply(reply);
+                  }
+                });
+  }
+
+  VirtualLoop* const m_loop;
+  int m_opened = 0;
+  std::map<int, std::function<void(Error)>> m_on_close;
+};
+
+class RecordingCaller : public CallerLink {
+ public:
+  void SendReply(const Reply& reply) override { replies.push_back(reply); }
+  void Close() override { closed = true; }
+
+  std::vector<Reply> replies;
+  bool closed = false;
+};
+
+class NoPromotions : public PromotionApi {
+ public:
+  void Promote(const std::string&,
+               const std::string&,
+               const std::string&,
+               uint64_t,
+               absl::Duration,
+               std::function<void(Status)>) override {}
+};
+
+class SessionFixture {
+ protected:
+  SessionFixture() {
+    m_gateway.SetLeadership(&m_leadership);
+    m_gateway.Start();
+    m_leadership.Start();
+    Configuration configuration;
+    configuration.version = 3;
+    configuration.groups["g"] = {.max_connections = 12};
+    AddRoute(&configuration, "orders", Consistency::kCurrent);
+    AddRoute(&configuration, "views", Consistency::kBoundedAge);
+    AddRoute(&configuration, "stock", Consistency::kReadYourWrites);
+    m_gateway.OnConfiguration(configuration);
+    ListTargets();
+    m_loop.RunFor(absl::Seconds(2));
+    REQUIRE(m_leadership.UsablePrimary("g") == "db0");
+  }
+
+  static void AddRoute(Configuration* configuration,
+                       const std::string& database,
+                       Consistency consistency) {
+    Route route;
+    route.database = database;
+    route.group = "g";
+    route.consistency = consistency;
+    route.allowed_age = absl::Milliseconds(1500);
+    route.statement_timeout = absl::Seconds(1);
+    route.latency_objective = absl::Milliseconds(200);
+    configuration->routes[database] = route;
+  }
+
+  void ListTargets() {
+    std::vector<ListedTarget> targets;
+    for (const char* id : {"db0", "db1", "db2"}) {
+      ListedTarget target;
+      target.id = id;
+      target.group = "g";
+      target.address = id;
+      target.data_centre = "a";
+      target.claims_primary = target.id == "db0";
+      targets.push_back(target);
+    }
+    m_gateway.OnTargets(targets);
+  }
+
+  CallerSession& Open(const std::string& database) {
+    m_session =
+        std::make_unique<CallerSession>(&m_gateway, database, &m_caller);
+    return *m_session;
+  }
+
+  Statement Make(StatementKind kind,
+                 const std::string& text,
+                 const std::string& name = "",
+                 const std::string& argument = "") {
+    return {absl::StrCat("r", ++m_requests), kind, text, name, argument};
+  }
+  void Say(StatementKind kind,
+           const std::string& text,
+           const std::string& name = "",
+           const std::string& argument = "") {
+    m_session->OnStatement(Make(kind, text, name, argument));
+    m_loop.RunFor(absl::Milliseconds(20));
+  }
+
+  // Answers the oldest statement at a target.
+  void Answer(ReplyCode code,
+              TransactionState state = TransactionState::kIdle,
+              Position position = {1, 5}) {
+    REQUIRE_FALSE(m_driver.sent.empty());
+    Reply reply;
+    reply.code = code;
+    reply.state = state;
+    reply.position = position;
+    reply.signature = "sig";
+    const ScriptedDriver::Sent sent = m_driver.sent.front();
+    m_driver.sent.pop_front();
+    REQUIRE_FALSE(m_driver.Closed(sent.connection));
+    sent.on_reply(reply);
+    m_loop.RunFor(absl::Milliseconds(60));
+  }
+
+  const Reply& Last() const { return m_caller.replies.back(); }
+
+  VirtualLoop m_loop;
+  FakeTable m_table;
+  FakeRowStore m_store{&m_loop, &m_table};
+  NoPromotions m_promotions;
+  Metrics m_metrics;
+  DecisionLog m_decisions{DecisionLogLevel::kOff, 0};
+  ScriptedDriver m_driver{&m_loop};
+  Gateway m_gateway{"a", &m_loop, &m_driver, &m_metrics, &m_decisions};
+  LeadershipManager m_leadership{{"self", 1, "self"}, &m_loop,    &m_store,
+                                 &m_promotions,       &m_gateway, nullptr};
+  RecordingCaller m_caller;
+  std::unique_ptr<CallerSession> m_session;
+  int m_requests = 0;
+};
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_WriteAnswered_RelaysSignature") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  REQUIRE(m_driver.sent.size() == 1);
+  CHECK(m_driver.sent[0].target == "db0");
+  CHECK(m_driver.sent[0].command.id == "r1");
+  CHECK(m_driver.sent[0].command.text == "WRITE k v");
+  Answer(ReplyCode::kComplete);
+  CHECK(Last().signature == "sig");
+}
+
+// A write that may have run must never be sent again.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ConnectionLostInWrite_SaysInDoubt") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  m_driver.Break(m_driver.sent[0].connection);
+  m_loop.RunFor(absl::Seconds(2));
+  CHECK(Last().code == ReplyCode::kInDoubt);
+  CHECK(m_driver.sent.size() == 1);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_WriteRefusedAsBusy_IsSentAgain") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  Answer(ReplyCode::kBusy);
+  REQUIRE(m_driver.sent.size() == 1);
+  Answer(ReplyCode::kComplete);
+  CHECK(Last().code == ReplyCode::kComplete);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ConnectionLostInRead_ReadsElsewhere") {
+  Open("views");
+  Say(StatementKind::kRead, "READ k");
+  const TargetId first = m_driver.sent[0].target;
+  m_driver.Break(m_driver.sent[0].connection);
+  m_driver.sent.clear();
+  m_loop.RunFor(absl::Milliseconds(100));
+  REQUIRE(m_driver.sent.size() == 1);
+  CHECK(m_driver.sent[0].target != first);
+  Answer(ReplyCode::kComplete);
+  CHECK(Last().code == ReplyCode::kComplete);
+}
+
+// The reply of a connection that was given up must not answer a later
+// statement.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_SlowRead_ClosesConnectionBeforeRepeating") {
+  Open("views");
+  Say(StatementKind::kRead, "READ k");
+  const int connection = m_driver.sent[0].connection;
+  m_loop.RunFor(absl::Milliseconds(400));
+  CHECK(m_driver.Closed(connection));
+  CHECK(m_driver.sent.size() >= 2);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ReadOfBoundedAge_RequiresKnownPosition") {
+  Open("views");
+  Say(StatementKind::kRead, "READ k");
+  REQUIRE(m_driver.sent.size() == 1);
+  if (m_driver.sent[0].target != "db0") {
+    CHECK(m_driver.sent[0].command.required_position == Position{1, 5});
+  }
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ReadAfterOwnWrite_RequiresItsPosition") {
+  Open("stock");
+  Say(StatementKind::kWrite, "WRITE k v");
+  Answer(ReplyCode::kComplete, TransactionState::kIdle, {1, 42});
+  Say(StatementKind::kRead, "READ k");
+  REQUIRE(m_driver.sent.size() == 1);
+  CHECK(m_driver.sent[0].target != "db0");
+  CHECK(m_driver.sent[0].command.required_position == Position{1, 42});
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ReplicaLags_ReadsAtAnotherTarget") {
+  Open("stock");
+  Say(StatementKind::kWrite, "WRITE k v");
+  Answer(ReplyCode::kComplete, TransactionState::kIdle, {1, 42});
+  Say(StatementKind::kRead, "READ k");
+  const TargetId first = m_driver.sent[0].target;
+  Answer(ReplyCode::kLagging);
+  REQUIRE(m_driver.sent.size() == 1);
+  CHECK(m_driver.sent[0].target != first);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ReadOfCurrentData_GoesToPrimary") {
+  Open("orders");
+  for (int count = 0; count < 4; ++count) {
+    Say(StatementKind::kRead, "READ k");
+    REQUIRE(m_driver.sent.size() == 1);
+    CHECK(m_driver.sent[0].target == "db0");
+    Answer(ReplyCode::kComplete);
+  }
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_Transaction_StaysOnOneConnection") {
+  Open("orders");
+  Say(StatementKind::kBegin, "BEGIN");
+  CHECK(Last().state == TransactionState::kOpen);
+  Say(StatementKind::kWrite, "WRITE k v");
+  const int connection = m_driver.sent[0].connection;
+  Answer(ReplyCode::kComplete, TransactionState::kOpen);
+  Say(StatementKind::kRead, "READ k");
+  CHECK(m_driver.sent[0].connection == connection);
+  Answer(ReplyCode::kComplete, TransactionState::kOpen);
+  Say(StatementKind::kCommit, "COMMIT");
+  CHECK(m_driver.sent[0].connection == connection);
+  Answer(ReplyCode::kComplete, TransactionState::kIdle);
+  CHECK(Last().state == TransactionState::kIdle);
+  CHECK(m_session->Idle());
+}
+
+// Nothing of the transaction is kept, and the caller is told so.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ConnectionLostBetweenStatements_SaysAborted") {
+  Open("orders");
+  Say(StatementKind::kBegin, "BEGIN");
+  Say(StatementKind::kWrite, "WRITE k v");
+  const int connection = m_driver.sent[0].connection;
+  Answer(ReplyCode::kComplete, TransactionState::kOpen);
+  m_driver.Break(connection);
+  Say(StatementKind::kCommit, "COMMIT");
+  CHECK(m_driver.sent.empty());
+  CHECK(Last().code == ReplyCode::kAborted);
+  CHECK(Last().state == TransactionState::kIdle);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ConnectionLostInCommit_SaysInDoubt") {
+  Open("orders");
+  Say(StatementKind::kBegin, "BEGIN");
+  Say(StatementKind::kWrite, "WRITE k v");
+  Answer(ReplyCode::kComplete, TransactionState::kOpen);
+  Say(StatementKind::kCommit, "COMMIT");
+  m_driver.Break(m_driver.sent[0].connection);
+  m_loop.RunFor(absl::Milliseconds(50));
+  CHECK(Last().code == ReplyCode::kInDoubt);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_Values_AreSetBeforeTheStatement") {
+  Open("orders");
+  Say(StatementKind::kSet, "SET zone x", "zone", "x");
+  Say(StatementKind::kRead, "READ k");
+  REQUIRE(m_driver.setup.size() == 1);
+  CHECK(m_driver.setup[0].kind == StatementKind::kSet);
+  CHECK(m_driver.setup[0].argument == "x");
+  Answer(ReplyCode::kComplete);
+}
+
+// A connection that carries another session's values is reset first.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_ConnectionWithOtherValues_IsReset") {
+  Open("orders");
+  Say(StatementKind::kSet, "SET zone x", "zone", "x");
+  Say(StatementKind::kRead, "READ k");
+  Answer(ReplyCode::kComplete);
+  const size_t before = m_driver.setup.size();
+  Open("orders");
+  for (int count = 0; count < 8; ++count) {
+    Say(StatementKind::kRead, "READ k");
+    REQUIRE(m_driver.sent.size() == 1);
+    Answer(ReplyCode::kComplete);
+  }
+  for (size_t index = before; index < m_driver.setup.size(); ++index) {
+    CHECK(m_driver.setup[index].kind == StatementKind::kReset);
+  }
+}
+
+// Names of prepared statements collide between callers.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_SameNameOtherShape_RunsOwnShape") {
+  Open("orders");
+  Say(StatementKind::kPrepareRead, "PREPARE s READ a", "s", "a");
+  Say(StatementKind::kExecute, "EXECUTE s k", "s", "k");
+  const std::string first = m_driver.sent[0].command.name;
+  Answer(ReplyCode::kComplete);
+  Open("orders");
+  Say(StatementKind::kPrepareRead, "PREPARE s READ b", "s", "b");
+  Say(StatementKind::kExecute, "EXECUTE s k", "s", "k");
+  CHECK(m_driver.sent[0].command.name != first);
+  CHECK(m_driver.setup.back().argument == "b");
+  Answer(ReplyCode::kComplete);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_UnknownPreparedName_SaysNoStatement") {
+  Open("orders");
+  Say(StatementKind::kExecute, "EXECUTE s k", "s", "k");
+  CHECK(Last().code == ReplyCode::kNoStatement);
+  CHECK(m_driver.sent.empty());
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_RouteRemoved_SaysNoDatabaseAndCloses") {
+  Open("orders");
+  Configuration next;
+  next.version = 4;
+  next.groups["g"] = {.max_connections = 12};
+  m_gateway.OnConfiguration(next);
+  Say(StatementKind::kRead, "READ k");
+  CHECK(Last().code == ReplyCode::kNoDatabase);
+  CHECK(m_caller.closed);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_OlderConfigurationArrivesLate_KeepsNewer") {
+  Configuration older;
+  older.version = 2;
+  m_gateway.OnConfiguration(older);
+  CHECK(m_gateway.ConfigurationVersion() == 3);
+  CHECK(m_gateway.FindRoute("orders") != nullptr);
+}
+
+// A commit at a primary that may have been replaced is not confirmed.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_LeaseLostBeforeReply_SaysInDoubt") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  m_loop.Freeze(absl::Seconds(3));
+  Answer(ReplyCode::kComplete);
+  CHECK(Last().code == ReplyCode::kInDoubt);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_LeaseLost_RefusesAtOnceAsNotRun") {
+  Open("orders");
+  m_store.SetDown(true);
+  m_loop.RunFor(absl::Seconds(4));
+  CHECK_FALSE(m_gateway.Ready());
+  m_session->OnStatement(Make(StatementKind::kWrite, "WRITE k v"));
+  m_loop.RunFor(absl::Milliseconds(150));
+  CHECK(Last().code == ReplyCode::kBusy);
+  CHECK(m_driver.sent.empty());
+  CHECK(m_caller.closed);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_TargetSilent_TimesOutAsInDoubt") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  m_loop.RunFor(absl::Seconds(1));
+  CHECK(Last().code == ReplyCode::kInDoubt);
+}
+
+// A target that is removed with a status query in flight crashed the process.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_TargetRemovedDuringStatusQuery_EndsTheQuery") {
+  bool answered = false;
+  m_gateway.QueryStatus("g", "db2", absl::Milliseconds(300),
+                        [&answered](std::optional<TargetStatus> status) {
+                          answered = true;
+                          CHECK_FALSE(status.has_value());
+                        });
+  m_gateway.OnTargets({});
+  m_loop.RunFor(absl::Seconds(1));
+  CHECK(answered);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_DrainBegins_ClosesIdleSessionsOnly") {
+  Open("orders");
+  Say(StatementKind::kWrite, "WRITE k v");
+  m_gateway.BeginDrain();
+  m_loop.RunFor(absl::Milliseconds(200));
+  CHECK_FALSE(m_caller.closed);
+  Answer(ReplyCode::kComplete);
+  m_loop.RunFor(absl::Milliseconds(200));
+  CHECK(m_caller.closed);
+}
+
+}  // namespace
+}  // namespace heatherwick
--- /dev/null
+++ b/Tests/gateway/fake_row_store.h
@@ -0,0 +1,162 @@
+// The platform's rows in memory, with outages for single instances, lost
+// answers and late effects. Each instance has a client of its own.
+
+#ifndef TESTS_GATEWAY_FAKE_ROW_STORE_H_
+#define TESTS_GATEWAY_FAKE_ROW_STORE_H_
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Source/gateway/row_store.h"
+#include "Tests/gateway/virtual_loop.h"
+
+namespace heatherwick {
+
+inline constexpr absl::Duration kStoreLatency = absl::Milliseconds(4);
+
+// The rows of one table, shared by the clients.
+class FakeTable {
+ public:
+  uint64_t version = 1;
+  std::map<std::string, StoredRow> rows;  // With deleted ones.
+
+  Result<uint64_t> Apply(const RowTransaction& transaction) {
+    for (const StoredRow& row : transaction.expected) {
+      const auto found = rows.find(row.key);
+      const uint64_t actual = found == rows.end() || found->second.deleted
+                                  ? 0
+                                  : found->second.version;
+      if (actual != row.version) {
+        return Error{ErrorKind::kConflict, "other version", ""};
+      }
+    }
+    ++version;
+    for (const StoredRow& row : transaction.writes) {
+      rows[row.key] = {row.key, row.value, version, false};
+    }
+    for (const std::string& key : transaction.deletes) {
+      rows[key] = {key, "", version, true};
+    }
+    return version;
+  }
+
+  std::vector<StoredRow> After(uint64_t after, bool with_deleted) const {
+    std::vector<StoredRow> changed;
+    for (const auto& [key, row] : rows) {
+      if (row.version > after && (with_deleted || !row.deleted)) {
+        changed.push_back(row);
+      }
+    }
+    return changed;
+  }
+};
+
+class FakeRowStore : public RowStore {
+ public:
+  FakeRowStore(VirtualLoop* loop, FakeTable* table)
+      : m_loop(loop), m_table(table) {}
+
+  // No call of this client is answered.
+  void SetDown(bool down) { m_down = down; }
+  // The next transaction is applied and its answer lost; it is applied only
+  // after `late`.
+  void LoseNextAnswer(absl::Duration late) { m_lose_after = late; }
+  // Polls no longer reach back.
+  void ForgetHistory() { m_history_lost = true; }
+
+  void ReadTable(const std::string&,
+                 absl::Duration timeout,
+                 std::function<void(Result<RowChanges>)> done) override {
+    Run(timeout, [this, done](bool reachable) {
+      if (!reachable) {
+        done(Unreachable());
+        return;
+      }
+      RowChanges changes;
+      changes.rows = m_table->After(0, false);
+      changes.version = m_table->version;
+      changes.snapshot = true;
+      changes.as_of = m_loop->Now();
+      done(changes);
+    });
+  }
+
+  void PollChanges(const std::string&,
+                   uint64_t after,
+                   absl::Duration wait,
+                   absl::Duration timeout,
+                   std::function<void(Result<RowChanges>)> done) override {
+    const absl::Time limit = m_loop->Now() + wait;
+    Run(timeout, [this, after, limit, done](bool reachable) {
+      if (!reachable) {
+        done(Unreachable());
+      } else if (std::exchange(m_history_lost, false)) {
+        done(Error{ErrorKind::kNotFound, "history is gone", ""});
+      } else {
+        AnswerPoll(after, limit, done);
+      }
+    });
+  }
+
+  void Commit(const RowTransaction& transaction,
+              absl::Duration timeout,
+              std::function<void(Result<uint64_t>)> done) override {
+    if (m_lose_after) {
+      m_loop->Add(*std::exchange(m_lose_after, std::nullopt),
+                  [this, transaction]() { (void)m_table->Apply(transaction); });
+      m_loop->Add(timeout, [done]() { done(Unreachable()); });
+      return;
+    }
+    Run(timeout, [this, transaction, done](bool reachable) {
+      done(reachable ? m_table->Apply(transaction)
+                     : Result<uint64_t>(Unreachable()));
+    });
+  }
+
+ private:
+  static Error Unreachable() {
+    return {ErrorKind::kUnavailable, "no answer", ""};
+  }
+
+  void Run(absl::Duration timeout, std::function<void(bool)> call) {
+    if (m_down) {
+      m_loop->Add(timeout, [call]() { call(false); });
+    } else {
+      m_loop->Add(kStoreLatency, [call]() { call(true); });
+    }
+  }
+
+  void AnswerPoll(uint64_t after,
+                  absl::Time limit,
+                  const std::function<void(Result<RowChanges>)>& done) {
+    RowChanges changes;
+    changes.rows = m_table->After(after, true);
+    changes.version = m_table->version;
+    changes.as_of = m_loop->Now();
+    if (m_down) {
+      m_loop->Add(limit - m_loop->Now() + absl::Milliseconds(400),
+                  [done]() { done(Unreachable()); });
+    } else if (!changes.rows.empty() || m_loop->Now() >= limit) {
+      done(changes);
+    } else {
+      m_loop->Add(absl::Milliseconds(5), [this, after, limit, done]() {
+        AnswerPoll(after, limit, done);
+      });
+    }
+  }
+
+  VirtualLoop* const m_loop;
+  FakeTable* const m_table;
+  bool m_down = false;
+  bool m_history_lost = false;
+  std::optional<absl::Duration> m_lose_after;
+};
+
+}  // namespace heatherwick
+
+#endif  // TESTS_GATEWAY_FAKE_ROW_STORE_H_
--- /dev/null
+++ b/Tests/gateway/leadership_cluster.h
@@ -0,0 +1,261 @@
+// Instances, the store, one or more groups of databases and the platform's
+// promotion in virtual time. Checks at each promotion that no instance may
+// still acknowledge for the old primary, and that tokens never fall.
+
+#ifndef TESTS_GATEWAY_LEADERSHIP_CLUSTER_H_
+#define TESTS_GATEWAY_LEADERSHIP_CLUSTER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Source/gateway/leadership_manager.h"
+#include "Tests/gateway/fake_row_store.h"
+#include "Tests/gateway/virtual_loop.h"
+#include "absl/strings/str_cat.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+
+struct FakeDatabase {
+  GroupName group;
+  bool alive = true;
+  bool draining = false;
+  bool listed = true;
+  TargetStatus status;
+};
+
+class LeadershipCluster : public PromotionApi {
+ public:
+  static constexpr absl::Duration kPromotionTime = absl::Milliseconds(1000);
+
+  LeadershipCluster(size_t instances, size_t groups) {
+    for (size_t group = 0; group < groups; ++group) {
+      for (size_t index = 0; index < 3; ++index) {
+        FakeDatabase database;
+        database.group = absl::StrCat("g", group);
+        database.status.primary = index == 0;
+        database.status.term = 1;
+        database.status.received = {1, 10 - index};
+        m_databases[absl::StrCat("g", group, "-db", index)] = database;
+      }
+    }
+    for (size_t index = 0; index < instances; ++index) {
+      AddNode(absl::StrCat("i", index));
+    }
+  }
+
+  class Node : public GroupAccess, public PeerTransport {
+   public:
+    Node(LeadershipCluster* cluster, std::string name, uint64_t incarnation)
+        : m_cluster(cluster),
+          store(&cluster->m_loop, &cluster->m_table),
+          m_manager(std::make_unique<LeadershipManager>(
+              LeadershipSettings{name, incarnation, name},
+              &cluster->m_loop,
+              &store,
+              cluster,
+              this,
+              this)) {
+      m_manager->Start();
+    }
+
+    // The process ends; calls on their way still refer to this object.
+    void Stop() { m_manager.reset(); }
+    LeadershipManager& Manager() { return *m_manager; }
+
+    std::vector<GroupName> Groups() const override {
+      std::set<GroupName> names;
+      for (const auto& [id, database] : m_cluster->m_databases) {
+        names.insert(database.group);
+      }
+      return {names.begin(), names.end()};
+    }
+    std::vector<ListedTarget> Targets(const GroupName& group) const override {
+      std::vector<ListedTarget> targets;
+      for (const auto& [id, database] : m_cluster->m_databases) {
+        if (database.group == group && database.listed) {
+          ListedTarget target;
+          target.id = id;
+          target.group = group;
+          target.draining = database.draining;
+          target.claims_primary = database.status.primary;
+          targets.push_back(target);
+        }
+      }
+      return targets;
+    }
+    absl::Time LastContact(const GroupName&,
+                           const TargetId& target) const override {
+      if (Reaches(target)) {
+        m_contacts[target] = m_cluster->m_loop.Now();
+      }
+      return m_contacts[target];
+    }
+    void QueryStatus(
+        const GroupName&,
+        const TargetId& target,
+        absl::Duration timeout,
+        std::function<void(std::optional<TargetStatus>)> done) override {
+      const bool reached = Reaches(target);
+      m_cluster->m_loop.Add(
+          reached ? absl::Milliseconds(3) : timeout,
+          [this, target, reached, done = std::move(done)]() {
+            done(reached && Reaches(target)
+                     ? std::optional(m_cluster->m_databases.at(target).status)
+                     : std::nullopt);
+          });
+    }
+    void Quiesce(const GroupName&,
+                 bool planned,
+                 std::function<void()> done) override {
+      m_cluster->m_loop.Add(
+          planned ? absl::Milliseconds(200) : absl::ZeroDuration(),
+          std::move(done));
+    }
+    void OnLeaderChanged(const GroupName&) override {}
+
+    void Vouch(const std::string& address,
+               const VouchQuestion& question,
+               absl::Duration timeout,
+               std::function<void(Result<VouchAnswer>)> done) override {
+      Node* const peer = m_cluster->Find(address);
+      if (peer == nullptr) {
+        done(Error{ErrorKind::kNotFound, "refused", ""});
+      } else if (isolated || peer->isolated) {
+        m_cluster->m_loop.Add(timeout, [done]() {
+          done(Error{ErrorKind::kUnavailable, "no answer", ""});
+        });
+      } else {
+        const VouchAnswer answer = peer->Manager().Vouch(question);
+        m_cluster->m_loop.Add(absl::Milliseconds(3),
+                              [done, answer]() { done(answer); });
+      }
+    }
+
+    // The instance notices that its primaries do not answer.
+    void Watch() {
+      for (const GroupName& group : Groups()) {
+        const std::optional<TargetId> primary = m_manager->UsablePrimary(group);
+        if (primary && !Reaches(*primary)) {
+          m_manager->ReportSilent(group);
+        }
+      }
+    }
+
+    bool Reaches(const TargetId& target) const {
+      return m_cluster->m_databases.at(target).alive &&
+             !unreachable.contains(target);
+    }
+
+   private:
+    LeadershipCluster* const m_cluster;
+    mutable std::map<TargetId, absl::Time> m_contacts;
+
+   public:
+    FakeRowStore store;
+    std::set<TargetId> unreachable;
+    bool isolated = false;  // From its peers.
+
+   private:
+    std::unique_ptr<LeadershipManager> m_manager;
+  };
+
+  void AddNode(const std::string& name) {
+    Kill(name);
+    m_nodes[name] = std::make_unique<Node>(this, name, ++m_incarnations);
+  }
+  // The process is gone; its row stays.
+  void Kill(const std::string& name) {
+    const auto found = m_nodes.find(name);
+    if (found != m_nodes.end()) {
+      found->second->Stop();
+      m_ended.push_back(std::move(found->second));
+      m_nodes.erase(found);
+    }
+  }
+
+  Node* Find(const std::string& name) {
+    const auto found = m_nodes.find(name);
+    return found == m_nodes.end() ? nullptr : found->second.get();
+  }
+  Node& At(size_t index) { return *m_nodes.at(absl::StrCat("i", index)); }
+
+  void RunFor(absl::Duration time) {
+    const absl::Time end = m_loop.Now() + time;
+    while (m_loop.Now() < end) {
+      for (const auto& [name, node] : m_nodes) {
+        node->Watch();
+      }
+      m_loop.RunFor(absl::Milliseconds(50));
+    }
+  }
+
+  void Promote(const std::string& group,
+               const std::string& target,
+               const std::string& holder,
+               uint64_t fencing_token,
+               absl::Duration,
+               std::function<void(Status)> done) override {
+    CHECK_MESSAGE(fencing_token >= m_last_token, "token of ", holder,
+                  " is lower than an earlier one");
+    CHECK((fencing_token != m_last_token || holder == m_last_holder));
+    m_last_token = fencing_token;
+    m_last_holder = holder;
+    TargetId old;
+    for (const auto& [id, database] : m_databases) {
+      if (database.group == group && database.status.primary && id != target) {
+        old = id;
+      }
+    }
+    for (const auto& [name, node] : m_nodes) {
+      CHECK_MESSAGE(!node->Manager().MayAcknowledge(group, old), name,
+                    " may acknowledge for ", old, " while ", target,
+                    " is promoted");
+    }
+    promoted.push_back(target);
+    m_loop.Add(kPromotionTime, [this, group, target]() {
+      uint64_t term = 0;
+      for (auto& [id, database] : m_databases) {
+        if (database.group == group) {
+          term = std::max(term, database.status.term);
+        }
+      }
+      TargetStatus& status = m_databases[target].status;
+      status.primary = true;
+      status.term = term + 1;
+      status.received = {term + 1, status.received.lsn + 1};
+    });
+    m_loop.Add(absl::Milliseconds(5),
+               [done = std::move(done)]() { done(std::monostate{}); });
+  }
+
+  // True when every instance uses `target`.
+  bool AllUse(const GroupName& group, const TargetId& target) {
+    for (const auto& [name, node] : m_nodes) {
+      if (node->Manager().UsablePrimary(group) != target) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  VirtualLoop m_loop;
+  FakeTable m_table;
+  std::map<TargetId, FakeDatabase> m_databases;
+  std::vector<TargetId> promoted;
+
+ private:
+  std::map<std::string, std::unique_ptr<Node>> m_nodes;
+  std::vector<std::unique_ptr<Node>> m_ended;
+  uint64_t m_incarnations = 0;
+  uint64_t m_last_token = 0;
+  std::string m_last_holder;
+};
+
+}  // namespace heatherwick
+
+#endif  // TESTS_GATEWAY_LEADERSHIP_CLUSTER_H_
--- /dev/null
+++ b/Tests/gateway/leadership_view_test.cc
@@ -0,0 +1,98 @@
+// Guards against using a primary without a valid lease, and against rows of
+// other writers.
+
+#include "Source/gateway/leadership_view.h"
+
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+class ViewFixture {
+ protected:
+  RowChanges Rows(std::vector<StoredRow> rows) {
+    RowChanges changes;
+    changes.rows = std::move(rows);
+    for (const StoredRow& row : changes.rows) {
+      changes.version = std::max(changes.version, row.version);
+    }
+    changes.as_of = m_now;
+    return changes;
+  }
+  StoredRow OwnRow(uint64_t incarnation) {
+    return {LeadershipView::MemberKey("self"),
+            LeadershipView::EncodeMember({incarnation, "p", 0}), 3, false};
+  }
+  StoredRow LeaderRow(uint64_t epoch, LeaderPhase phase, uint64_t version) {
+    GroupLeader leader;
+    leader.epoch = epoch;
+    leader.phase = phase;
+    leader.primary = "db1";
+    return {LeadershipView::LeaderKey("g"),
+            LeadershipView::EncodeLeader(leader), version, false};
+  }
+
+  absl::Time m_now = absl::UnixEpoch() + absl::Hours(1);
+  LeadershipView m_view{"self", 7};
+};
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_OwnRowAbsent_HasNoLease") {
+  m_view.Apply(Rows({LeaderRow(1, LeaderPhase::kOpen, 2)}), m_now);
+  CHECK_FALSE(m_view.LeaseValid(m_now));
+}
+
+// A restarted instance must not use the row of its earlier run.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_RowOfEarlierIncarnation_HasNoLease") {
+  m_view.Apply(Rows({OwnRow(6)}), m_now);
+  CHECK_FALSE(m_view.LeaseValid(m_now));
+}
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_ReadingTooOld_LosesLease") {
+  m_view.Apply(Rows({OwnRow(7)}), m_now);
+  CHECK(m_view.LeaseValid(m_now + kLeaderLease - absl::Milliseconds(1)));
+  CHECK_FALSE(m_view.LeaseValid(m_now + kLeaderLease));
+}
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_ForeignBytes_KeepsOtherRows") {
+  m_view.Apply(Rows({{"leader/g", "\xff{", 2, false},
+                     {"member/x", "[]", 2, false},
+                     {"leader/h", R"({"epoch":"one"})", 2, false},
+                     OwnRow(7)}),
+               m_now);
+  CHECK(m_view.LeaseValid(m_now));
+  CHECK(m_view.Leader("g").phase == LeaderPhase::kUnknown);
+}
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_OlderRowArrivesLate_IsIgnored") {
+  m_view.Apply(Rows({LeaderRow(3, LeaderPhase::kOpen, 9)}), m_now);
+  m_view.Apply(Rows({LeaderRow(2, LeaderPhase::kChanging, 8)}), m_now);
+  CHECK(m_view.Leader("g").epoch == 3);
+}
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_ChangeRead_EndsOldLeaseInTime") {
+  m_view.Apply(Rows({OwnRow(7)}), m_now);
+  const absl::Time before = m_now;
+  m_now += absl::Seconds(1);
+  m_view.Apply(Rows({LeaderRow(2, LeaderPhase::kChanging, 8)}), m_now);
+  CHECK(m_view.Leader("g").usable_until == before + kLeaderLease);
+}
+
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_MemberOfOtherIncarnation_IsUnconfirmed") {
+  m_view.Apply(
+      Rows({OwnRow(7),
+            {LeadershipView::ConfirmationKey("self"),
+             LeadershipView::EncodeConfirmation(6, {{"g", 9}}), 4, false}}),
+      m_now);
+  CHECK(m_view.Unconfirmed("g", 5).size() == 1);
+  m_view.Apply(
+      Rows({{LeadershipView::ConfirmationKey("self"),
+             LeadershipView::EncodeConfirmation(7, {{"g", 9}}), 5, false}}),
+      m_now);
+  CHECK(m_view.Unconfirmed("g", 5).empty());
+  CHECK(m_view.Unconfirmed("g", 10).size() == 1);
+}
+
+}  // namespace
+}  // namespace heatherwick
--- /dev/null
+++ b/Tests/gateway/peer_leases_test.cc
@@ -0,0 +1,156 @@
+// Guards against a lease that peers extend although a change may have been
+// published.
+
+#include "Source/gateway/peer_leases.h"
+
+#include <map>
+#include <string>
+
+#include "Tests/gateway/virtual_loop.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+class ScriptedPeers : public PeerTransport {
+ public:
+  void Vouch(const std::string& address,
+             const VouchQuestion&,
+             absl::Duration,
+             std::function<void(Result<VouchAnswer>)> done) override {
+    ++calls;
+    done(answers.at(address));
+  }
+
+  std::map<std::string, Result<VouchAnswer>> answers;
+  int calls = 0;
+};
+
+class PeerLeasesFixture {
+ protected:
+  PeerLeasesFixture() {
+    RowChanges changes;
+    uint64_t version = 2;
+    for (const char* id : {"self", "p1", "p2"}) {
+      changes.rows.push_back({LeadershipView::MemberKey(id),
+                              LeadershipView::EncodeMember({7, id, 0}),
+                              ++version, false});
+    }
+    changes.version = version;
+    changes.as_of = m_loop.Now();
+    m_view.Apply(changes, m_loop.Now());
+  }
+
+  static VouchAnswer StoreAway() {
+    VouchAnswer answer;
+    answer.store_unreachable = true;
+    return answer;
+  }
+  static VouchAnswer Reading(absl::Duration age) {
+    VouchAnswer answer;
+    answer.member_known = true;
+    answer.has_reading = true;
+    answer.reading_age = age;
+    return answer;
+  }
+  static Error Silent() { return {ErrorKind::kUnavailable, "no answer", ""}; }
+  static Error NotRunning() { return {ErrorKind::kNotFound, "refused", ""}; }
+
+  void Ask(Result<VouchAnswer> first, Result<VouchAnswer> second) {
+    m_peers.answers.insert_or_assign("p1", std::move(first));
+    m_peers.answers.insert_or_assign("p2", std::move(second));
+    m_loop.RunFor(absl::Seconds(1));
+    m_leases.Tick();
+  }
+  bool ValidIn(absl::Duration time) const {
+    return m_view.LeaseValid(m_loop.Now() + time);
+  }
+
+  VirtualLoop m_loop;
+  LeadershipView m_view{"self", 7};
+  ScriptedPeers m_peers;
+  std::vector<StoredRow> m_rows;
+  PeerLeases m_leases{"self",
+                      7,
+                      &m_loop,
+                      &m_peers,
+                      &m_view,
+                      [this](const RowChanges& changes) {
+                        m_rows = changes.rows;
+                        m_view.Apply(changes, m_loop.Now());
+                      }};
+};
+
+TEST_CASE_FIXTURE(PeerLeasesFixture, "PeerLeases_OwnReadingFresh_AsksNobody") {
+  m_leases.Tick();
+  CHECK(m_peers.calls == 0);
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture, "PeerLeases_PeerHasReading_ExtendsByAge") {
+  Ask(Reading(absl::Milliseconds(300)), Silent());
+  CHECK(ValidIn(absl::Milliseconds(1600)));
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1701)));
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_PeerDoesNotKnowMember_DoesNotExtend") {
+  VouchAnswer stranger = Reading(absl::ZeroDuration());
+  stranger.member_known = false;
+  Ask(stranger, Silent());
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_NobodyReadsTheStore_ExtendsByUnanimity") {
+  Ask(StoreAway(), StoreAway());
+  CHECK(ValidIn(absl::Milliseconds(1900)));
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_OneMemberSilent_DoesNotExtend") {
+  Ask(StoreAway(), Silent());
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_OneMemberNotRunning_ExtendsByUnanimity") {
+  Ask(StoreAway(), NotRunning());
+  CHECK(ValidIn(absl::Milliseconds(1900)));
+}
+
+// A member that carries out a change orders a promotion without the store.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_MemberInAChange_AnswersThatItDoesNotAgree") {
+  CHECK(m_leases.Answer({"p1", 7, 0}, false, false).store_unreachable);
+  CHECK_FALSE(m_leases.Answer({"p1", 7, 0}, false, true).store_unreachable);
+  CHECK_FALSE(m_leases.Answer({"p1", 7, 0}, true, false).store_unreachable);
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_PeerKnowsNewerLeader_DeliversItsRow") {
+  GroupLeader leader;
+  leader.epoch = 2;
+  leader.phase = LeaderPhase::kChanging;
+  VouchAnswer answer = Reading(absl::ZeroDuration());
+  answer.leaders_version = 50;
+  answer.leaders = {{LeadershipView::LeaderKey("g"),
+                     LeadershipView::EncodeLeader(leader), 50, false}};
+  Ask(answer, Silent());
+  CHECK(m_rows.size() == 1);
+  CHECK(m_view.Leader("g").phase == LeaderPhase::kChanging);
+}
+
+// The peer has not seen a change that this instance knows.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_PeerBehindOwnView_DoesNotExtend") {
+  GroupLeader leader;
+  RowChanges known;
+  known.rows = {{LeadershipView::LeaderKey("g"),
+                 LeadershipView::EncodeLeader(leader), 60, false}};
+  m_view.Apply(known, m_loop.Now());
+  Ask(Reading(absl::ZeroDuration()), StoreAway());
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
+}
+
+}  // namespace
+}  // namespace heatherwick
