gateway: Let one instance read each table of the store for all

Ruled out: longer waits of the polls, which delay configuration and leases. Change: members are ranked for each table; the first polls, the others ask it over gRPC and get its next reading with its age, so that leases keep their meaning.

--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -33,8 +33,8 @@
 
 class GrpcPeerTransport::Service : public proto::Leadership::CallbackService {
  public:
-  Service(EventLoop* loop, const Responder* responder)
-      : m_loop(loop), m_responder(responder) {}
+  Service(EventLoop* loop, const Responders* responders)
+      : m_loop(loop), m_responders(responders) {}
 
   grpc::ServerUnaryReactor* Vouch(grpc::CallbackServerContext* context,
                                   const proto::VouchRequest* request,
@@ -42,8 +42,8 @@
     grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
     m_loop->Post([this, request, reply, reactor]() {
       const VouchAnswer answer =
-          (*m_responder)({request->instance(), request->incarnation(),
-                          request->leaders_version()});
+          m_responders->vouch({request->instance(), request->incarnation(),
+                               request->leaders_version()});
       reply->set_member_known(answer.member_known);
       reply->set_has_reading(answer.has_reading);
       reply->set_reading_age_us(absl::ToInt64Microseconds(answer.reading_age));
@@ -60,18 +60,54 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* Follow(grpc::CallbackServerContext* context,
+                                   const proto::FollowRequest* request,
+                                   proto::FollowReply* reply) override {
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    m_loop->Post([this, request, reply, reactor]() {
+      m_responders->follow(
+          {request->table(), request->after()},
+          [reply, reactor](const Result<FollowAnswer>& answer) {
+            if (!Ok(answer)) {
+              reactor->Finish({grpc::StatusCode::FAILED_PRECONDITION,
+                               ErrorOf(answer).message});
+              return;
+            }
+            FillReply(ValueOf(answer), reply);
+            reactor->Finish(grpc::Status::OK);
+          });
+    });
+    return reactor;
+  }
+
  private:
+  static void FillReply(const FollowAnswer& answer, proto::FollowReply* reply) {
+    for (const StoredRow& row : answer.changes.rows) {
+      proto::FollowedRow* const followed = reply->add_rows();
+      followed->set_key(row.key);
+      followed->set_value(row.value);
+      followed->set_version(row.version);
+      followed->set_deleted(row.deleted);
+    }
+    reply->set_version(answer.changes.version);
+    reply->set_snapshot(answer.changes.snapshot);
+    reply->set_waited_us(absl::ToInt64Microseconds(answer.waited));
+    reply->set_age_us(absl::ToInt64Microseconds(answer.age));
+  }
+
   EventLoop* const m_loop;
-  const Responder* const m_responder;
+  const Responders* const m_responders;
 };
 
-GrpcPeerTransport::GrpcPeerTransport(EventLoop* loop, Responder responder)
-    : m_loop(loop), m_responder(std::move(responder)) {}
+GrpcPeerTransport::GrpcPeerTransport(EventLoop* loop, Responders responders)
+    : m_loop(loop), m_responders(std::move(responders)) {}
 
-GrpcPeerTransport::~GrpcPeerTransport() = default;
+GrpcPeerTransport::~GrpcPeerTransport() {
+  *m_alive = false;
+}
 
 Status GrpcPeerTransport::Listen(const std::string& address) {
-  m_service = std::make_unique<Service>(m_loop, &m_responder);
+  m_service = std::make_unique<Service>(m_loop, &m_responders);
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddListeningPort(address, grpc::InsecureServerCredentials());
@@ -93,6 +129,9 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kLowestBackOffMs);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kLowestBackOffMs);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kHighestBackOffMs);
+    // A channel that is dropped must not leave its silent connection to the
+    // next one.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     // Proxies in the environment must not redirect calls between instances.
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     channel = grpc::CreateCustomChannel(
@@ -101,48 +140,111 @@
   return channel;
 }
 
-void GrpcPeerTransport::Vouch(const std::string& address,
-                              const VouchQuestion& question,
+template <typename Request, typename Reply, typename Method>
+void GrpcPeerTransport::Start(const std::string& address,
+                              Method method,
+                              Request request,
                               absl::Duration timeout,
-                              std::function<void(Result<VouchAnswer>)> done) {
+                              std::function<void(Result<Reply>)> done) {
   struct Call {
     std::unique_ptr<proto::Leadership::Stub> stub;
     grpc::ClientContext context;
-    proto::VouchRequest request;
-    proto::VouchReply reply;
+    Request request;
+    Reply reply;
   };
   auto call = std::make_shared<Call>();
   call->stub = proto::Leadership::NewStub(ChannelTo(address));
   call->context.set_deadline(DeadlineAfter(timeout));
-  call->request.set_instance(question.instance);
-  call->request.set_incarnation(question.incarnation);
-  call->request.set_leaders_version(question.leaders_version);
+  call->request = std::move(request);
   Call* const raw = call.get();
-  raw->stub->async()->Vouch(
-      &raw->context, &raw->request, &raw->reply,
-      [loop = m_loop, call,
-       done = std::move(done)](const grpc::Status& status) {
-        loop->Post([call, done, status]() {
-          if (!status.ok()) {
-            const bool refused =
-                absl::StrContains(status.error_message(), "refused");
-            done(Error{refused ? ErrorKind::kNotFound : ErrorKind::kUnavailable,
-                       status.error_message(), "check the instance"});
+  std::function<void(grpc::Status)> finished =
+      [this, address, call = std::move(call), done = std::move(done),
+       alive = m_alive](const grpc::Status& status) {
+        m_loop->Post([this, address, call, done, alive, status]() {
+          if (!*alive) {
             return;
           }
-          const proto::VouchReply& reply = call->reply;
-          VouchAnswer answer;
-          answer.member_known = reply.member_known();
-          answer.has_reading = reply.has_reading();
-          answer.reading_age = absl::Microseconds(reply.reading_age_us());
-          answer.leaders_version = reply.leaders_version();
-          answer.store_unreachable = reply.store_unreachable();
-          for (const proto::LeaderRow& row : reply.leaders()) {
-            answer.leaders.push_back(
-                {row.key(), row.value(), row.version(), false});
+          if (status.ok()) {
+            done(std::move(call->reply));
+            return;
+          }
+          if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+            // The connection may have gone silent; the next call opens one.
+            m_channels.erase(address);
           }
-          done(std::move(answer));
+          const bool refused =
+              absl::StrContains(status.error_message(), "refused");
+          done(Error{refused ? ErrorKind::kNotFound : ErrorKind::kUnavailable,
+                     status.error_message(), "check the instance"});
         });
+      };
+  (raw->stub->async()->*method)(&raw->context, &raw->request, &raw->reply,
+                                std::move(finished));
+}
+
+void GrpcPeerTransport::Vouch(const std::string& address,
+                              const VouchQuestion& question,
+                              absl::Duration timeout,
+                              std::function<void(Result<VouchAnswer>)> done) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::VouchRequest*,
+                      proto::VouchReply*, std::function<void(grpc::Status)>);
+  proto::VouchRequest request;
+  request.set_instance(question.instance);
+  request.set_incarnation(question.incarnation);
+  request.set_leaders_version(question.leaders_version);
+  Start<proto::VouchRequest, proto::VouchReply>(
+      address, static_cast<Method>(&Async::Vouch), std::move(request), timeout,
+      [done = std::move(done)](const Result<proto::VouchReply>& result) {
+        if (!Ok(result)) {
+          done(ErrorOf(result));
+          return;
+        }
+        const proto::VouchReply& reply = ValueOf(result);
+        VouchAnswer answer;
+        answer.member_known = reply.member_known();
+        answer.has_reading = reply.has_reading();
+        answer.reading_age = absl::Microseconds(reply.reading_age_us());
+        answer.leaders_version = reply.leaders_version();
+        answer.store_unreachable = reply.store_unreachable();
+        for (const proto::LeaderRow& row : reply.leaders()) {
+          answer.leaders.push_back(
+              {row.key(), row.value(), row.version(), false});
+        }
+        done(std::move(answer));
+      });
+}
+
+void GrpcPeerTransport::Follow(const std::string& address,
+                               const FollowQuestion& question,
+                               absl::Duration timeout,
+                               std::function<void(Result<FollowAnswer>)> done) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::FollowRequest*,
+                      proto::FollowReply*, std::function<void(grpc::Status)>);
+  proto::FollowRequest request;
+  request.set_table(question.table);
+  request.set_after(question.after);
+  Start<proto::FollowRequest, proto::FollowReply>(
+      address, static_cast<Method>(&Async::Follow), std::move(request), timeout,
+      [done = std::move(done)](const Result<proto::FollowReply>& result) {
+        if (!Ok(result)) {
+          done(ErrorOf(result));
+          return;
+        }
+        const proto::FollowReply& reply = ValueOf(result);
+        FollowAnswer answer;
+        for (const proto::FollowedRow& row : reply.rows()) {
+          answer.changes.rows.push_back(
+              {row.key(), row.value(), row.version(), row.deleted()});
+        }
+        answer.changes.version = reply.version();
+        answer.changes.snapshot = reply.snapshot();
+        answer.waited = absl::Microseconds(reply.waited_us());
+        answer.age = absl::Microseconds(reply.age_us());
+        done(std::move(answer));
       });
 }
 
--- a/Source/gateway/grpc_peer_transport.h
+++ b/Source/gateway/grpc_peer_transport.h
@@ -18,10 +18,15 @@
 
 class GrpcPeerTransport : public PeerTransport {
  public:
-  // Answers a question on the event loop's thread.
-  using Responder = std::function<VouchAnswer(const VouchQuestion&)>;
+  // Answer questions on the event loop's thread.
+  struct Responders {
+    std::function<VouchAnswer(const VouchQuestion&)> vouch;
+    std::function<void(const FollowQuestion&,
+                       std::function<void(Result<FollowAnswer>)>)>
+        follow;
+  };
 
-  GrpcPeerTransport(EventLoop* loop, Responder responder);
+  GrpcPeerTransport(EventLoop* loop, Responders responders);
   ~GrpcPeerTransport() override;
 
   Status Listen(const std::string& address);
@@ -30,17 +35,29 @@
              const VouchQuestion& question,
              absl::Duration timeout,
              std::function<void(Result<VouchAnswer>)> done) override;
+  void Follow(const std::string& address,
+              const FollowQuestion& question,
+              absl::Duration timeout,
+              std::function<void(Result<FollowAnswer>)> done) override;
 
  private:
   class Service;
 
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& address);
+  // Starts a call of the Leadership service; `done` runs on the loop.
+  template <typename Request, typename Reply, typename Method>
+  void Start(const std::string& address,
+             Method method,
+             Request request,
+             absl::Duration timeout,
+             std::function<void(Result<Reply>)> done);
 
   EventLoop* const m_loop;
-  const Responder m_responder;
+  const Responders m_responders;
   std::unique_ptr<Service> m_service;
   std::unique_ptr<grpc::Server> m_server;
   std::map<std::string, std::shared_ptr<grpc::Channel>> m_channels;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/peer_transport.h
+++ b/Source/gateway/peer_transport.h
@@ -30,6 +30,17 @@
   std::vector<StoredRow> leaders;  // Newer than the question's version.
 };
 
+struct FollowQuestion {
+  std::string table;
+  uint64_t after = 0;
+};
+
+struct FollowAnswer {
+  RowChanges changes;     // Without as_of.
+  absl::Duration waited;  // From the question's arrival to the answer.
+  absl::Duration age;     // Of the reading, when the answer was made.
+};
+
 class PeerTransport {
  public:
   virtual ~PeerTransport() = default;
@@ -39,6 +50,10 @@
                      const VouchQuestion& question,
                      absl::Duration timeout,
                      std::function<void(Result<VouchAnswer>)> done) = 0;
+  virtual void Follow(const std::string& address,
+                      const FollowQuestion& question,
+                      absl::Duration timeout,
+                      std::function<void(Result<FollowAnswer>)> done) = 0;
 };
 
 }  // namespace heatherwick
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -136,6 +136,11 @@
       }
     }
 
+    void Follow(const std::string&,
+                const FollowQuestion&,
+                absl::Duration,
+                std::function<void(Result<FollowAnswer>)>) override {}
+
     // The instance notices that its primaries do not answer.
     void Watch() {
       for (const GroupName& group : Groups()) {
@@ -158,7 +163,8 @@
    public:
     FakeRowStore store;
     std::set<TargetId> unreachable;
-    bool isolated = false;  // From its peers.
+    bool isolated = false;      // From its peers.
+    bool hold_quiesce = false;  // Its statements at the primary never end.
 
    private:
     std::unique_ptr<LeadershipManager> m_manager;
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -154,6 +154,17 @@
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
 }
 
+// A member that cannot end its statements stops acknowledging in time.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_MemberNeverQuiesces_LosesItsLease") {
+  Start(3);
+  m_cluster->At(1).hold_quiesce = true;
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted.size() == 1);
+  CHECK(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db1");
+}
+
 // Two changes at once share the duty, so their tokens must not cross.
 TEST_CASE_FIXTURE(ClusterFixture,
                   "LeadershipManager_TwoPrimariesDie_BothAreReplaced") {
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -22,6 +22,11 @@
     done(answers.at(address));
   }
 
+  void Follow(const std::string&,
+              const FollowQuestion&,
+              absl::Duration,
+              std::function<void(Result<FollowAnswer>)>) override {}
+
   std::map<std::string, Result<VouchAnswer>> answers;
   int calls = 0;
 };
--- /dev/null
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -0,0 +1,200 @@
+// Guards against followers that miss changes, take an old reading for a new
+// one, or wait for each other while nobody reads the store.
+
+#include "Source/gateway/shared_row_store.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Tests/gateway/fake_row_store.h"
+#include "Tests/gateway/virtual_loop.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+constexpr absl::Duration kWait = absl::Milliseconds(600);
+constexpr absl::Duration kTimeout = absl::Milliseconds(1000);
+
+class CountingStore : public FakeRowStore {
+ public:
+  using FakeRowStore::FakeRowStore;
+  void PollChanges(const std::string& table,
+                   uint64_t after,
+                   absl::Duration wait,
+                   absl::Duration timeout,
+                   std::function<void(Result<RowChanges>)> done) override {
+    ++polls;
+    FakeRowStore::PollChanges(table, after, wait, timeout, std::move(done));
+  }
+  int polls = 0;
+};
+
+class SharedStoreFixture {
+ protected:
+  struct Instance : PeerTransport {
+    Instance(SharedStoreFixture* fixture, std::string name)
+        : owner(fixture),
+          id(name),
+          direct(&fixture->m_loop, &fixture->m_table),
+          shared(name, &fixture->m_loop, &direct, this, [fixture]() {
+            return fixture->m_members;
+          }) {}
+    void Vouch(const std::string&,
+               const VouchQuestion&,
+               absl::Duration,
+               std::function<void(Result<VouchAnswer>)>) override {}
+    void Follow(const std::string& address,
+                const FollowQuestion& question,
+                absl::Duration timeout,
+                std::function<void(Result<FollowAnswer>)> done) override {
+      Instance& peer = *owner->m_instances.at(address);
+      if (peer.silent) {
+        owner->m_loop.Add(timeout, [done]() {
+          done(Error{ErrorKind::kUnavailable, "no answer", ""});
+        });
+        return;
+      }
+      owner->m_loop.Add(absl::Milliseconds(2), [&peer, question, done]() {
+        peer.shared.OnFollow(question, done);
+      });
+    }
+    // Polls again and again, as a watch does.
+    void Watch() {
+      auto next = [this](const Result<RowChanges>& changes) {
+        if (Ok(changes)) {
+          read = true;
+          version = std::max(version, ValueOf(changes).version);
+          as_of = std::max(as_of, ValueOf(changes).as_of);
+          CHECK(ValueOf(changes).as_of <= owner->m_loop.Now());
+          for (const StoredRow& row : ValueOf(changes).rows) {
+            rows[row.key] = row.deleted ? "" : row.value;
+          }
+        }
+        owner->m_loop.Add(absl::Milliseconds(1), [this]() { Watch(); });
+      };
+      if (read) {
+        shared.PollChanges("t", version, kWait, kTimeout, next);
+      } else {
+        shared.ReadTable("t", kTimeout, next);
+      }
+    }
+
+    SharedStoreFixture* const owner;
+    const std::string id;
+    CountingStore direct;
+    SharedRowStore shared;
+    bool silent = false;
+    bool read = false;
+    uint64_t version = 0;
+    absl::Time as_of = absl::InfinitePast();
+    std::map<std::string, std::string> rows;
+  };
+
+  SharedStoreFixture() {
+    for (const char* name : {"a", "b", "c", "d"}) {
+      m_members[name] = name;
+    }
+    for (const auto& [name, address] : m_members) {
+      m_instances[name] = std::make_unique<Instance>(this, name);
+    }
+    for (const auto& [name, instance] : m_instances) {
+      instance->Watch();
+    }
+    m_loop.RunFor(absl::Seconds(3));
+  }
+
+  void Write(const std::string& key, const std::string& value) {
+    RowTransaction transaction{"t", {}, {{key, value, 0, false}}, {}};
+    (void)m_table.Apply(transaction);
+  }
+  int Polls() const {
+    int polls = 0;
+    for (const auto& [name, instance] : m_instances) {
+      polls += instance->direct.polls;
+    }
+    return polls;
+  }
+  Instance& Reader() {
+    for (const auto& [name, instance] : m_instances) {
+      instance->direct.polls = 0;
+    }
+    m_loop.RunFor(absl::Seconds(2));
+    for (const auto& [name, instance] : m_instances) {
+      if (instance->direct.polls > 0) {
+        return *instance;
+      }
+    }
+    FAIL("nobody reads the store");
+    return *m_instances["a"];
+  }
+
+  VirtualLoop m_loop;
+  FakeTable m_table;
+  SharedRowStore::Members m_members;
+  std::map<std::string, std::unique_ptr<Instance>> m_instances;
+};
+
+TEST_CASE_FIXTURE(SharedStoreFixture, "SharedRowStore_Calm_OneInstanceReads") {
+  const int before = Polls();
+  m_loop.RunFor(absl::Seconds(6));
+  CHECK(Polls() - before <= 11);
+  for (const auto& [name, instance] : m_instances) {
+    CHECK(m_loop.Now() - instance->as_of < absl::Milliseconds(700));
+  }
+}
+
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_RowChanges_AllSeeItAtOnce") {
+  Write("k", "v1");
+  m_loop.RunFor(absl::Milliseconds(30));
+  for (const auto& [name, instance] : m_instances) {
+    CHECK(instance->rows["k"] == "v1");
+  }
+}
+
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_ReaderSilent_OthersReadTheStore") {
+  Instance& reader = Reader();
+  reader.silent = true;
+  m_loop.RunFor(absl::Milliseconds(1100));
+  Write("k", "v2");
+  m_loop.RunFor(absl::Milliseconds(700));
+  for (const auto& [name, instance] : m_instances) {
+    CHECK(instance->rows["k"] == "v2");
+  }
+}
+
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_ReaderCutFromStore_OthersReadTheStore") {
+  Instance& reader = Reader();
+  reader.direct.SetDown(true);
+  m_loop.RunFor(absl::Milliseconds(1700));
+  Write("k", "v3");
+  m_loop.RunFor(absl::Milliseconds(700));
+  for (const auto& [name, instance] : m_instances) {
+    if (instance.get() != &reader) {
+      CHECK(instance->rows["k"] == "v3");
+      CHECK(m_loop.Now() - instance->as_of < absl::Milliseconds(1500));
+    }
+  }
+}
+
+// A follower must not extend its lease by a reading that is not renewed.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_StoreDownForAll_ReadingsGrowOld") {
+  for (const auto& [name, instance] : m_instances) {
+    instance->direct.SetDown(true);
+  }
+  const absl::Time down = m_loop.Now();
+  m_loop.RunFor(absl::Seconds(8));
+  for (const auto& [name, instance] : m_instances) {
+    CHECK(instance->as_of <= down + kWait);
+  }
+}
+
+}  // namespace
+}  // namespace heatherwick
