gateway: Announce changes to members and confirm them directly

Ruled out: a shorter lease, which a slow store would exhaust. Change: the holder announces the change to the members over gRPC, a member confirms in the same way, and writes the row only when the holder does not answer.

--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -29,6 +29,21 @@
       gpr_time_from_millis(absl::ToInt64Milliseconds(timeout), GPR_TIMESPAN));
 }
 
+void FillRow(const StoredRow& row, proto::LeaderRow* leader) {
+  leader->set_key(row.key);
+  leader->set_value(row.value);
+  leader->set_version(row.version);
+}
+
+template <typename Rows>
+std::vector<StoredRow> ToRows(const Rows& leaders) {
+  std::vector<StoredRow> rows;
+  for (const proto::LeaderRow& row : leaders) {
+    rows.push_back({row.key(), row.value(), row.version(), false});
+  }
+  return rows;
+}
+
 }  // namespace
 
 class GrpcPeerTransport::Service : public proto::Leadership::CallbackService {
@@ -42,18 +57,19 @@
     grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
     m_loop->Post([this, request, reply, reactor]() {
       const VouchAnswer answer =
-          m_responders->vouch({request->instance(), request->incarnation(),
-                               request->leaders_version()});
+          m_responders->vouch(
+          {request->instance(),
+           request->incarnation(),
+           request->leaders_version(),
+           {request->confirmed().begin(), request->confirmed().end()},
+           ToRows(request->announced())});
       reply->set_member_known(answer.member_known);
       reply->set_has_reading(answer.has_reading);
       reply->set_reading_age_us(absl::ToInt64Microseconds(answer.reading_age));
       reply->set_leaders_version(answer.leaders_version);
       reply->set_store_unreachable(answer.store_unreachable);
       for (const StoredRow& row : answer.leaders) {
-        proto::LeaderRow* const leader = reply->add_leaders();
-        leader->set_key(row.key);
-        leader->set_value(row.value);
-        leader->set_version(row.version);
+        FillRow(row, reply->add_leaders());
       }
       reactor->Finish(grpc::Status::OK);
     });
@@ -194,6 +210,11 @@
   request.set_instance(question.instance);
   request.set_incarnation(question.incarnation);
   request.set_leaders_version(question.leaders_version);
+  request.mutable_confirmed()->insert(question.confirmed.begin(),
+                                      question.confirmed.end());
+  for (const StoredRow& row : question.announced) {
+    FillRow(row, request.add_announced());
+  }
   Start<proto::VouchRequest, proto::VouchReply>(
       address, static_cast<Method>(&Async::Vouch), std::move(request), timeout,
       [done = std::move(done)](const Result<proto::VouchReply>& result) {
@@ -208,10 +229,7 @@
         answer.reading_age = absl::Microseconds(reply.reading_age_us());
         answer.leaders_version = reply.leaders_version();
         answer.store_unreachable = reply.store_unreachable();
-        for (const proto::LeaderRow& row : reply.leaders()) {
-          answer.leaders.push_back(
-              {row.key(), row.value(), row.version(), false});
-        }
+        answer.leaders = ToRows(reply.leaders());
         done(std::move(answer));
       });
 }
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -23,6 +23,8 @@
 constexpr absl::Duration kPollAnswerTimeout = absl::Milliseconds(400);
 constexpr absl::Duration kPollRetry = absl::Milliseconds(100);
 constexpr absl::Duration kCallTimeout = absl::Milliseconds(700);
+// A confirmation that the holder does not acknowledge goes to the store.
+constexpr absl::Duration kConfirmTimeout = absl::Milliseconds(300);
 constexpr absl::Duration kTickPeriod = absl::Milliseconds(100);
 // A primary that answered nothing for this long is voted on: the slowest
 // ordinary statement of a slowed database takes about 500 ms.
@@ -65,6 +67,7 @@
   absl::Time published_after;   // And known to be stored then.
   bool published = false;       // The announcement is stored.
   uint64_t row_version = 0;     // Of the announcement.
+  StoredRow announcement;
   bool quiesced = false;
   absl::Time collecting_since = absl::InfiniteFuture();
   size_t statuses_pending = 0;
@@ -103,6 +106,7 @@
       m_store(store),
       m_promotions(promotions),
       m_groups(groups),
+      m_peers(peers),
       m_view(m_settings.self, m_settings.incarnation),
       m_peer_leases(m_settings.self,
                     m_settings.incarnation,
@@ -232,12 +236,7 @@
   if (!m_view.OwnRowPresent()) {
     Register();
   }
-  for (auto& [group, state] : m_states) {
-    Promotion* const promotion = state->promotion.get();
-    if (promotion != nullptr && promotion->published) {
-      AwaitConfirmations(group, promotion->attempt);
-    }
-  }
+  ContinueChanges();
   SchedulePoll(absl::ZeroDuration());
 }
 
@@ -247,13 +246,32 @@
   }
 }
 
-VouchAnswer LeadershipManager::Vouch(const VouchQuestion& question) const {
+VouchAnswer LeadershipManager::Vouch(const VouchQuestion& question) {
+  if (!question.announced.empty()) {
+    RowChanges announced;
+    announced.rows = question.announced;
+    ApplyRows(announced);
+  }
+  if (!question.confirmed.empty()) {
+    m_view.NoteConfirmation(question.instance, question.incarnation,
+                            question.confirmed);
+    ContinueChanges();
+  }
   const bool changing = std::any_of(
       m_states.begin(), m_states.end(),
       [](const auto& state) { return state.second->promotion != nullptr; });
   return m_peer_leases.Answer(question, m_store_reachable, changing);
 }
 
+void LeadershipManager::ContinueChanges() {
+  for (auto& [group, state] : m_states) {
+    Promotion* const promotion = state->promotion.get();
+    if (promotion != nullptr && promotion->published) {
+      AwaitConfirmations(group, promotion->attempt);
+    }
+  }
+}
+
 size_t LeadershipManager::MemberCount() const {
   return std::max(kMinMembers, m_view.Members().size());
 }
@@ -315,7 +333,29 @@
     return;
   }
   confirmed = epoch;
-  WriteConfirmation();
+  m_view.NoteConfirmation(m_settings.self, m_settings.incarnation,
+                          m_confirmed_epochs);
+  const InstanceId holder = m_view.Leader(group).holder;
+  if (holder == m_settings.self) {
+    ContinueChanges();
+    return;
+  }
+  const auto member = m_view.Members().find(holder);
+  if (m_peers == nullptr || member == m_view.Members().end()) {
+    WriteConfirmation();
+    return;
+  }
+  // The holder hears it directly, also while this instance cannot write to
+  // the store; the row is the second way.
+  m_peers->Vouch(member->second.peer_address,
+                 {m_settings.self, m_settings.incarnation,
+                  m_view.LeadersVersion(), m_confirmed_epochs, {}},
+                 kConfirmTimeout,
+                 [this, alive = m_alive](const Result<VouchAnswer>& answer) {
+                   if (*alive && !Ok(answer)) {
+                     WriteConfirmation();
+                   }
+                 });
 }
 
 void LeadershipManager::WriteConfirmation() {
@@ -686,6 +726,8 @@
         0, false}},
       {}};
   const uint64_t attempt = promotion.attempt;
+  promotion.announcement = {leader_key, LeadershipView::EncodeLeader(next), 0,
+                            false};
   m_store->Commit(
       transaction, kCallTimeout,
       [this, group, attempt, alive = m_alive](const Result<uint64_t>& result) {
@@ -717,9 +759,28 @@
   promotion->published = true;
   promotion->row_version = ValueOf(result);
   promotion->published_after = m_loop->Now();
+  promotion->announcement.version = promotion->row_version;
+  Announce(StoredRow(promotion->announcement));
   AwaitConfirmations(group, attempt);
 }
 
+void LeadershipManager::Announce(const StoredRow& row) {
+  RowChanges own;
+  own.rows = {row};
+  ApplyRows(own);
+  if (m_peers == nullptr) {
+    return;
+  }
+  for (const auto& [id, member] : m_view.Members()) {
+    if (id != m_settings.self) {
+      m_peers->Vouch(member.peer_address,
+                     {m_settings.self, m_settings.incarnation,
+                      m_view.LeadersVersion(), {}, {row}},
+                     kConfirmTimeout, [](const Result<VouchAnswer>&) {});
+    }
+  }
+}
+
 void LeadershipManager::AwaitConfirmations(const GroupName& group,
                                            uint64_t attempt) {
   Promotion* const promotion = Current(group, attempt);
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -80,7 +80,7 @@
   void ReportNotPrimary(const GroupName& group);
 
   // Answers another instance's question.
-  VouchAnswer Vouch(const VouchQuestion& question) const;
+  VouchAnswer Vouch(const VouchQuestion& question);
 
   bool LeaseValid() const { return m_view.LeaseValid(m_loop->Now()); }
   const LeadershipView& View() const { return m_view; }
@@ -108,6 +108,7 @@
   void DecideVotes(const GroupName& group);
   void OnLeaderRow(const GroupName& group);
   void Confirm(const GroupName& group, uint64_t epoch);
+  void ContinueChanges();
   void WriteConfirmation();
 
   bool DutyFree() const;
@@ -117,6 +118,8 @@
   void OnChangePublished(const GroupName& group,
                          uint64_t attempt,
                          Result<uint64_t> result);
+  // Tells the members of a change that was just published, ahead of the feed.
+  void Announce(const StoredRow& row);
   void AwaitConfirmations(const GroupName& group, uint64_t attempt);
   void CollectStatuses(const GroupName& group, uint64_t attempt);
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
@@ -140,6 +143,7 @@
   RowStore* const m_store;
   PromotionApi* const m_promotions;
   GroupAccess* const m_groups;
+  PeerTransport* const m_peers;  // May be null.
   LeadershipView m_view;
   PeerLeases m_peer_leases;
   std::map<GroupName, std::unique_ptr<GroupState>> m_states;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -114,6 +114,20 @@
   return now < m_as_of + kLeaderLease && OwnRowPresent();
 }
 
+void LeadershipView::NoteConfirmation(
+    const InstanceId& id,
+    uint64_t incarnation,
+    const std::map<GroupName, uint64_t>& epochs) {
+  Confirmation& confirmation = m_confirmations[id];
+  if (confirmation.incarnation != incarnation) {
+    confirmation = {incarnation, {}};
+  }
+  for (const auto& [group, epoch] : epochs) {
+    uint64_t& known = confirmation.epochs[group];
+    known = std::max(known, epoch);
+  }
+}
+
 void LeadershipView::ExtendLease(absl::Time as_of) {
   m_as_of = std::max(m_as_of, as_of);
 }
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -71,6 +71,10 @@
   bool OwnRowPresent() const;
   bool LeaseValid(absl::Time now) const;
   absl::Time AsOf() const { return m_as_of; }
+  // A member has confirmed these epochs to this instance directly.
+  void NoteConfirmation(const InstanceId& id,
+                        uint64_t incarnation,
+                        const std::map<GroupName, uint64_t>& epochs);
   // Extends the lease on the word of peers.
   void ExtendLease(absl::Time as_of);
 
--- a/Source/gateway/peer_transport.h
+++ b/Source/gateway/peer_transport.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,10 @@
   InstanceId instance;
   uint64_t incarnation = 0;
   uint64_t leaders_version = 0;  // Newest leader row that was applied.
+  // Changes, by epoch, for which all use of the old primary has ended.
+  std::map<GroupName, uint64_t> confirmed;
+  // Leader rows that the sender has just published.
+  std::vector<StoredRow> announced;
 };
 
 struct VouchAnswer {
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -99,6 +99,20 @@
   CHECK(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db1");
 }
 
+// An incident showed changes that waited 2.1 s for the lease of members that
+// the store refused although their peers could hear them.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_MemberCannotWrite_ConfirmsToTheHolder") {
+  Start(3);
+  m_cluster->At(0).store.SetDown(true);
+  m_cluster->RunFor(absl::Seconds(3));
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Milliseconds(1900));
+  CHECK(m_cluster->promoted.size() == 1);
+  m_cluster->RunFor(absl::Milliseconds(2500));
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 TEST_CASE_FIXTURE(ClusterFixture,
                   "LeadershipManager_StoreDownForAll_KeepsPrimaryInUse") {
   Start(3);
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -126,9 +126,9 @@
 // A member that carries out a change orders a promotion without the store.
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_MemberInAChange_AnswersThatItDoesNotAgree") {
-  CHECK(m_leases.Answer({"p1", 7, 0}, false, false).store_unreachable);
-  CHECK_FALSE(m_leases.Answer({"p1", 7, 0}, false, true).store_unreachable);
-  CHECK_FALSE(m_leases.Answer({"p1", 7, 0}, true, false).store_unreachable);
+  CHECK(m_leases.Answer({"p1", 7, 0, {}, {}}, false, false).store_unreachable);
+  CHECK_FALSE(m_leases.Answer({"p1", 7, 0, {}, {}}, false, true).store_unreachable);
+  CHECK_FALSE(m_leases.Answer({"p1", 7, 0, {}, {}}, true, false).store_unreachable);
 }
 
 TEST_CASE_FIXTURE(PeerLeasesFixture,
