--- a/Source/client/instance_client.cc
+++ b/Source/client/instance_client.cc
@@ -2,12 +2,13 @@
 // to the next instance whatever it does.
 
 #include "Source/client/instance_client.h"
+#include "Source/base/steady_clock.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -21,7 +22,7 @@
   grpc_connectivity_state state = channel->GetState(/*try_to_connect=*/true);
   while (state != GRPC_CHANNEL_READY &&
          state != GRPC_CHANNEL_TRANSIENT_FAILURE) {
-    if (!channel->WaitForStateChange(state, absl::ToChronoTime(deadline))) {
+    if (!channel->WaitForStateChange(state, GrpcDeadline(deadline))) {
       return false;
     }
     state = channel->GetState(/*try_to_connect=*/true);
@@ -40,14 +41,14 @@
   for (const std::string& address : m_addresses) {
     const Channel channel = m_channels.Get(address);
     const absl::Time connected_by =
-        absl::Now() + std::min(m_timeout, kLongestConnect);
+        SteadyNow() + std::min(m_timeout, kLongestConnect);
     if (!Connect(channel.get(), connected_by)) {
       absl::StrAppend(&result.failures, "instance ", address,
                       " cannot be reached; check that it runs\n");
       continue;
     }
     grpc::ClientContext context;
-    context.set_deadline(absl::ToChronoTime(absl::Now() + m_timeout));
+    context.set_deadline(GrpcDeadlineIn(m_timeout));
     const grpc::Status status = attempt(channel, &context);
     if (status.ok()) {
       result.outcome = CallOutcome::kAnswered;
--- a/Source/client/sheet_commands.cc
+++ b/Source/client/sheet_commands.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "Source/base/steady_clock.h"
 #include "Source/client/command.h"
 #include "Source/client/text_file.h"
 #include "Source/decision/sheet_diff.h"
@@ -372,7 +373,7 @@
     return context.Fail(ExitCode::kUsage,
                         NotAVersion(context.arguments[0]).Describe());
   }
-  const absl::Time limit = absl::Now() + context.options.limit;
+  const absl::Time limit = SteadyNow() + context.options.limit;
   std::vector<MemberProgress> progress;
   while (true) {
     proto::ListMembersReply list;
@@ -383,7 +384,7 @@
       return context.FailCall(result, /*changes=*/false);
     }
     progress = AskMembers(list, version);
-    if (AllInForce(progress) || absl::Now() >= limit) {
+    if (AllInForce(progress) || SteadyNow() >= limit) {
       break;
     }
     absl::SleepFor(kWaitPollPeriod);
--- a/Source/gateway/asio_event_loop.cc
+++ b/Source/gateway/asio_event_loop.cc
@@ -2,10 +2,9 @@
 
 #include "Source/gateway/asio_event_loop.h"
 
-#include <time.h>
-
 #include <utility>
 
+#include "Source/base/steady_clock.h"
 #include "boost/asio/post.hpp"
 #include "boost/asio/steady_timer.hpp"
 
@@ -50,9 +49,7 @@
     : m_context(context) {}
 
 absl::Time AsioEventLoop::Now() const {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return absl::TimeFromTimespec(now);
+  return SteadyNow();
 }
 
 std::unique_ptr<Timer> AsioEventLoop::RunAfter(absl::Duration delay,
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "Source/proto/leadership.grpc.pb.h"
+#include "Source/runtime/grpc_deadline.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "grpc/support/time.h"
 #include "grpcpp/create_channel.h"
 #include "grpcpp/security/credentials.h"
 #include "grpcpp/security/server_credentials.h"
@@ -22,13 +22,6 @@
 constexpr int kLowestBackOffMs = 50;
 constexpr int kHighestBackOffMs = 300;
 
-// gRPC's deadlines in the monotonic clock do not follow the time of day.
-gpr_timespec DeadlineAfter(absl::Duration timeout) {
-  return gpr_time_add(
-      gpr_now(GPR_CLOCK_MONOTONIC),
-      gpr_time_from_millis(absl::ToInt64Milliseconds(timeout), GPR_TIMESPAN));
-}
-
 void FillRow(const StoredRow& row, proto::LeaderRow* leader) {
   leader->set_key(row.key);
   leader->set_value(row.value);
@@ -56,8 +49,7 @@
                                   proto::VouchReply* reply) override {
     grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
     m_loop->Post([this, request, reply, reactor]() {
-      const VouchAnswer answer =
-          m_responders->vouch(
+      const VouchAnswer answer = m_responders->vouch(
           {request->instance(),
            request->incarnation(),
            request->leaders_version(),
@@ -170,7 +162,7 @@
   };
   auto call = std::make_shared<Call>();
   call->stub = proto::Leadership::NewStub(ChannelTo(address));
-  call->context.set_deadline(DeadlineAfter(timeout));
+  call->context.set_deadline(GrpcDeadlineIn(timeout));
   call->request = std::move(request);
   Call* const raw = call.get();
   std::function<void(grpc::Status)> finished =
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -348,8 +348,11 @@
   // The holder hears it directly, also while this instance cannot write to
   // the store; the row is the second way.
   m_peers->Vouch(member->second.peer_address,
-                 {m_settings.self, m_settings.incarnation,
-                  m_view.LeadersVersion(), m_confirmed_epochs, {}},
+                 {m_settings.self,
+                  m_settings.incarnation,
+                  m_view.LeadersVersion(),
+                  m_confirmed_epochs,
+                  {}},
                  kConfirmTimeout,
                  [this, alive = m_alive](const Result<VouchAnswer>& answer) {
                    if (*alive && !Ok(answer)) {
@@ -774,8 +777,11 @@
   for (const auto& [id, member] : m_view.Members()) {
     if (id != m_settings.self) {
       m_peers->Vouch(member.peer_address,
-                     {m_settings.self, m_settings.incarnation,
-                      m_view.LeadersVersion(), {}, {row}},
+                     {m_settings.self,
+                      m_settings.incarnation,
+                      m_view.LeadersVersion(),
+                      {},
+                      {row}},
                      kConfirmTimeout, [](const Result<VouchAnswer>&) {});
     }
   }
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -65,9 +65,8 @@
   round->members = peers.size();
   std::sort(peers.begin(), peers.end());
   peers.resize(std::min(peers.size(), kMaxAsked));
-  const VouchQuestion question{m_self, m_incarnation, m_view->LeadersVersion(),
-                               {},
-                               {}};
+  const VouchQuestion question{
+      m_self, m_incarnation, m_view->LeadersVersion(), {}, {}};
   for (const auto& [hash, address] : peers) {
     m_transport->Vouch(
         address, question, kCallTimeout,
--- a/Source/load/load_session.cc
+++ b/Source/load/load_session.cc
@@ -1,6 +1,7 @@
 // Reads, keyed writes and transactions of one session.
 
 #include "Source/load/load_session.h"
+#include "Source/base/steady_clock.h"
 
 #include <utility>
 #include <vector>
@@ -8,7 +9,6 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -132,7 +132,7 @@
   // The session's own writes have to be seen whatever their age; those of
   // others once they are older than the kind allows.
   const absl::Time visible_from =
-      read_session == m_number ? absl::Now() : absl::Now() - kind.max_age;
+      read_session == m_number ? SteadyNow() : SteadyNow() - kind.max_age;
   const std::vector<std::string> required =
       m_context.ledger->AcknowledgedUntil(block, visible_from);
   proto::ExecuteRequest request = MakeRequest(proto::READ, group);
@@ -145,7 +145,7 @@
   const RequestEnd end =
       outcome.end == RequestEnd::kUnknown ? RequestEnd::kFailed : outcome.end;
   m_context.report->AddRequest("read/" + kind.name, end, outcome.reply,
-                               absl::Now() - arrival.due);
+                               SteadyNow() - arrival.due);
   if (end == RequestEnd::kDone) {
     m_context.report->AddServedRead(group, outcome.reply.served_by(),
                                     kind.name);
@@ -300,7 +300,7 @@
                               const LoadWrite& write,
                               const Outcome& outcome,
                               absl::Time due) {
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   m_context.ledger->Settle(write, StateOf(outcome.end), now);
   m_context.report->AddRequest(request_class, outcome.end, outcome.reply,
                                now - due);
--- a/Source/load/load_settlement.cc
+++ b/Source/load/load_settlement.cc
@@ -1,6 +1,7 @@
 // Resolves unknown writes and verifies the rows of a load run.
 
 #include "Source/load/load_settlement.h"
+#include "Source/base/steady_clock.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -26,17 +27,17 @@
     return false;
   }
   m_context.ledger->Settle(
-      write, done ? WriteState::kDone : WriteState::kNotRun, absl::Now());
+      write, done ? WriteState::kDone : WriteState::kNotRun, SteadyNow());
   m_context.report->AddSettled(done);
   return true;
 }
 
 void LoadSettlement::SettleUnknown(absl::Time limit) {
   std::vector<LoadWrite> unknown = m_context.ledger->Unknown();
-  while (!unknown.empty() && absl::Now() < limit) {
+  while (!unknown.empty() && SteadyNow() < limit) {
     bool all = true;
     for (const LoadWrite& write : unknown) {
-      all = absl::Now() < limit && SettleOne(write) && all;
+      all = SteadyNow() < limit && SettleOne(write) && all;
     }
     if (!all) {
       absl::SleepFor(kRetryPause);
@@ -60,7 +61,7 @@
   request.set_operation(proto::READ);
   request.set_read_kind(m_context.options->CurrentKind()->name);
   request.set_statement(statement);
-  while (absl::Now() < limit) {
+  while (SteadyNow() < limit) {
     const proto::ExecuteReply reply = m_context.client->Execute(
         request, m_context.options->deadline, m_choice++);
     if (reply.outcome() == proto::DONE && reply.error_kind().empty()) {
--- a/Source/load/process_load.cc
+++ b/Source/load/process_load.cc
@@ -1,6 +1,7 @@
 // Generates arrivals and runs the sessions' threads.
 
 #include "Source/load/process_load.h"
+#include "Source/base/steady_clock.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -52,11 +53,11 @@
       static_cast<double>(m_options.rate));
   const std::vector<double> weights = CallerWeights();
   std::discrete_distribution<size_t> callers(weights.begin(), weights.end());
-  const absl::Time start = absl::Now();
+  const absl::Time start = SteadyNow();
   absl::Time progress = start + kProgressPeriod;
   for (absl::Time due = start; due < start + m_options.duration;
        due += absl::Seconds(pause(random))) {
-    absl::SleepFor(due - absl::Now());
+    absl::SleepFor(due - SteadyNow());
     const size_t caller = callers(random);
     AddArrival(caller, {random(), due});
     if (due >= progress) {
@@ -96,9 +97,9 @@
     const size_t caller = i < weights.size() ? i : callers(random);
     sessions.emplace_back([this, i, caller] { RunSession(i, caller); });
   }
-  m_report.Start(m_options.groups, absl::Now());
+  m_report.Start(m_options.groups, SteadyNow());
   GenerateArrivals();
-  m_report.EndLoad(absl::Now());
+  m_report.EndLoad(SteadyNow());
   {
     const absl::MutexLock lock(&m_mutex);
     m_finished = true;
@@ -125,8 +126,8 @@
   }
   RunLoad();
   LoadSettlement settlement(m_context);
-  settlement.SettleUnknown(absl::Now() + m_options.settle_limit);
-  settlement.Verify(absl::Now() + m_options.settle_limit);
+  settlement.SettleUnknown(SteadyNow() + m_options.settle_limit);
+  settlement.Verify(SteadyNow() + m_options.settle_limit);
   printf("%s", m_report.Table().c_str());
   if (!WriteJson()) {
     fprintf(stderr, "cannot write %s; choose a writable file\n",
--- a/Source/load/proxy_client.cc
+++ b/Source/load/proxy_client.cc
@@ -1,11 +1,12 @@
 // gRPC client of the proxies under load.
 
 #include "Source/load/proxy_client.h"
+#include "Source/base/steady_clock.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <algorithm>
 
 #include "absl/strings/match.h"
-#include "absl/time/clock.h"
 #include "grpcpp/grpcpp.h"
 
 namespace heatherwick {
@@ -44,7 +45,7 @@
 }
 
 ProxyClient::Proxy& ProxyClient::Choose(uint64_t choice) {
-  const int64_t now = absl::ToUnixMillis(absl::Now());
+  const int64_t now = absl::ToUnixMillis(SteadyNow());
   for (size_t i = 0; i < m_proxies.size(); ++i) {
     Proxy& proxy = *m_proxies[(choice + i) % m_proxies.size()];
     if (proxy.avoid_until_ms <= now) {
@@ -65,23 +66,23 @@
 proto::ExecuteReply ProxyClient::Send(absl::Duration deadline,
                                       uint64_t choice,
                                       const Call& call) {
-  const absl::Time limit = absl::Now() + deadline + kAnswerMargin;
+  const absl::Time limit = SteadyNow() + deadline + kAnswerMargin;
   proto::ExecuteReply reply;
   grpc::Status status;
   do {
     Proxy& proxy = Choose(choice);
     grpc::ClientContext context;
-    context.set_deadline(absl::ToChronoTime(limit));
+    context.set_deadline(GrpcDeadline(limit));
     status = call(*proxy.stub, &context, &reply);
     if (status.ok()) {
       if (reply.leaving()) {
-        proxy.avoid_until_ms = absl::ToUnixMillis(absl::Now() + kAvoidLeaving);
+        proxy.avoid_until_ms = absl::ToUnixMillis(SteadyNow() + kAvoidLeaving);
       }
       return reply;
     }
-    proxy.avoid_until_ms = absl::ToUnixMillis(absl::Now() + kAvoidFor);
-  } while (WasNeverSent(status) && HasOther(absl::Now()) &&
-           absl::Now() < limit);
+    proxy.avoid_until_ms = absl::ToUnixMillis(SteadyNow() + kAvoidFor);
+  } while (WasNeverSent(status) && HasOther(SteadyNow()) &&
+           SteadyNow() < limit);
   reply.Clear();
   reply.set_outcome(proto::UNKNOWN);
   reply.set_error_kind("transport");
--- a/Source/load/slopes/connection_slope.cc
+++ b/Source/load/slopes/connection_slope.cc
@@ -2,6 +2,7 @@
 // that the memory of the two sides is told apart.
 
 #include "Source/load/slopes/connection_slope.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <chrono>
 #include <memory>
@@ -81,7 +82,7 @@
 
   bool Call() {
     grpc::ClientContext context;
-    context.set_deadline(absl::ToChronoTime(absl::Now() + kCallTimeout));
+    context.set_deadline(GrpcDeadlineIn(kCallTimeout));
     context.set_wait_for_ready(true);
     proto::ProbeRequest request;
     proto::ProbeReply reply;
@@ -182,7 +183,7 @@
   }
   absl::SleepFor(duration);
   service.ReleaseHeld();
-  server->Shutdown(absl::ToChronoTime(absl::Now()));
+  server->Shutdown(GrpcDeadlineIn(absl::ZeroDuration()));
 }
 
 void MeasureConnections(uint64_t port,
--- a/Source/load/slopes/placement_slope.cc
+++ b/Source/load/slopes/placement_slope.cc
@@ -1,6 +1,7 @@
 // Ranks every group of a region before and after one instance leaves.
 
 #include "Source/load/slopes/placement_slope.h"
+#include "Source/base/steady_clock.h"
 
 #include <string>
 #include <vector>
@@ -8,7 +9,6 @@
 #include "Source/decision/placement.h"
 #include "Source/load/slopes/process_usage.h"
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -56,9 +56,9 @@
       (size.databases + kDatabasesPerGroup - 1) / kDatabasesPerGroup;
   std::vector<PlacementCandidate> candidates = MakeCandidates(size.instances);
   const double memory_before = UsageOf("self").resident_bytes;
-  const absl::Time start = absl::Now();
+  const absl::Time start = SteadyNow();
   const auto before = RankAll(groups, candidates);
-  const double seconds = absl::ToDoubleSeconds(absl::Now() - start);
+  const double seconds = absl::ToDoubleSeconds(SteadyNow() - start);
   const double memory = UsageOf("self").resident_bytes - memory_before;
   // The last one leaves, so that the indexes of the others stay.
   const size_t leaver = candidates.size() - 1;
--- a/Source/runtime/daemon.cc
+++ b/Source/runtime/daemon.cc
@@ -1,6 +1,8 @@
 // Assembly, start and graceful stop of an instance.
 
 #include "Source/runtime/daemon.h"
+#include "Source/base/steady_clock.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <algorithm>
 #include <utility>
@@ -87,7 +89,7 @@
                         m_options.data_centre, m_options.region,
                         NewIncarnation()};
   const auto log = [this](const DecisionRecord& record) {
-    m_decision_log.Write(record, absl::Now());
+    m_decision_log.Write(record, SteadyNow());
   };
   MemberManagerOptions members;
   members.own = self;
@@ -175,7 +177,7 @@
 void Daemon::RunTicks() {
   absl::Time next_reconcile = absl::InfinitePast();
   while (!m_stopping) {
-    const absl::Time now = absl::Now();
+    const absl::Time now = SteadyNow();
     if (now >= next_reconcile) {
       m_homes->Reconcile();
       CancelCallsToSuspects();
@@ -198,7 +200,7 @@
 }
 
 bool Daemon::Drained(absl::Time start) const {
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   const absl::Time last_arrival =
       absl::FromUnixMicros(m_routing.last_arrival_us);
   const bool quiet =
@@ -211,20 +213,20 @@
   if (m_server == nullptr) {
     return;
   }
-  const absl::Time start = absl::Now();
+  const absl::Time start = SteadyNow();
   const absl::Time end = start + m_options.stop_timeout;
   m_homes->StartDraining();
   m_members->Leave();
-  while (absl::Now() < end && !Drained(start)) {
+  while (SteadyNow() < end && !Drained(start)) {
     absl::SleepFor(kStopPoll);
   }
   // Requests that arrived in the meantime still end.
   m_server->Shutdown(
-      absl::ToChronoTime(std::max(end, absl::Now() + kShortestShutdown)));
+      GrpcDeadline(std::max(end, SteadyNow() + kShortestShutdown)));
   m_stopping = true;
   m_ticks.join();
   m_members->Stop();
-  m_homes->CloseAll(absl::Now() + kCloseTimeout);
+  m_homes->CloseAll(SteadyNow() + kCloseTimeout);
   m_server->Wait();
   m_server.reset();
 }
--- a/Source/runtime/group_home.cc
+++ b/Source/runtime/group_home.cc
@@ -1,6 +1,7 @@
 // Events of one group and the actions that follow from them.
 
 #include "Source/runtime/group_home.h"
+#include "Source/base/steady_clock.h"
 
 #include <algorithm>
 #include <atomic>
@@ -8,7 +9,6 @@
 
 #include "Source/runtime/target_messages.h"
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -86,7 +86,7 @@
       m_scheduler(std::move(scheduler)),
       m_failover(FailoverOptions(), m_random),
       m_transactions(m_home_id),
-      m_last_used(absl::Now()) {}
+      m_last_used(SteadyNow()) {}
 
 void GroupHome::OnSheet(const SheetSnapshot& snapshot) {
   DeferredRunner runner;
@@ -96,7 +96,7 @@
       row == snapshot.sheet->groups.end()) {
     return;
   }
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   m_sheet = snapshot;
   m_targets.clear();
   GroupRules rules;
@@ -124,7 +124,7 @@
                         Done done) {
   DeferredRunner runner;
   absl::MutexLock lock(&m_mutex);
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   m_last_used = now;
   ActiveRequest active;
   active.request = request;
@@ -165,7 +165,7 @@
                         Done done) {
   DeferredRunner runner;
   absl::MutexLock lock(&m_mutex);
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   m_last_used = now;
   ActiveRequest active;
   active.request.set_caller(request.caller());
@@ -288,7 +288,7 @@
 
 void GroupHome::Apply(const std::vector<SchedulerAction>& actions,
                       Deferred* deferred) {
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   for (const SchedulerAction& action : actions) {
     if (const auto* start = std::get_if<StartStatement>(&action)) {
       Start(*start, now, deferred);
@@ -417,7 +417,7 @@
        !m_scheduler->HasTransaction(active.transaction))) {
     m_transactions.Close(active.transaction);
   } else if (active.transaction != 0) {
-    m_transactions.Release(active.transaction, absl::Now());
+    m_transactions.Release(active.transaction, SteadyNow());
   }
   ReplyError(&active, active.may_have_run ? proto::UNKNOWN : proto::NOT_RUN,
              RefusalError(refuse, m_group), deferred);
@@ -484,7 +484,7 @@
     const proto::FenceReply& reply = ValueOf(result);
     DeferredRunner runner;
     absl::MutexLock lock(&self->m_mutex);
-    const absl::Time now = absl::Now();
+    const absl::Time now = SteadyNow();
     std::vector<FailoverAction> actions;
     self->m_failover.OnFenceReply(fence.target, fence.term, reply.granted(),
                                   reply.term(), FromProto(reply.last()), now,
@@ -510,7 +510,7 @@
     const proto::PromoteReply& reply = ValueOf(result);
     DeferredRunner runner;
     absl::MutexLock lock(&self->m_mutex);
-    const absl::Time now = absl::Now();
+    const absl::Time now = SteadyNow();
     if (reply.promoted()) {
       self->m_promoted_position = FromProto(reply.last());
     }
@@ -539,7 +539,7 @@
     }
     DeferredRunner runner;
     absl::MutexLock lock(&self->m_mutex);
-    const absl::Time now = absl::Now();
+    const absl::Time now = SteadyNow();
     std::vector<CommitAction> actions;
     if (Ok(result)) {
       const proto::WaitPositionReply& reply = ValueOf(result);
@@ -597,7 +597,7 @@
                          Result<std::shared_ptr<TargetConnection>> result) {
   DeferredRunner runner;
   absl::MutexLock lock(&m_mutex);
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   std::vector<SchedulerAction> actions;
   const auto found = m_connections.find(connection);
   if (found == m_connections.end()) {
@@ -630,7 +630,7 @@
     return;  // The scheduler would open another one.
   }
   std::vector<SchedulerAction> actions;
-  m_scheduler->OnConnectionClosed(target, connection, absl::Now(), &actions);
+  m_scheduler->OnConnectionClosed(target, connection, SteadyNow(), &actions);
   Apply(actions, runner.work());
 }
 
@@ -638,7 +638,7 @@
                                  Result<proto::StatementReply> result) {
   DeferredRunner runner;
   absl::MutexLock lock(&m_mutex);
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   const auto found = m_active.find(id);
   if (found == m_active.end()) {
     return;
@@ -805,7 +805,7 @@
                               Result<proto::StatusReply> result) {
   DeferredRunner runner;
   absl::MutexLock lock(&m_mutex);
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   TargetHealth health;
   std::vector<FailoverAction> actions;
   if (Ok(result)) {
@@ -832,7 +832,7 @@
   if (m_closed || m_sheet.sheet == nullptr) {
     return;
   }
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   std::vector<FailoverAction> failover;
   m_failover.OnTick(now, &failover);
   Apply(failover, now, runner.work());
@@ -892,7 +892,7 @@
   active->reply.set_token(active->token.Encode());
   m_context->metrics->Count(
       absl::StrCat("requests/", OutcomeName(active->reply.outcome())));
-  m_context->metrics->Observe("request_latency", absl::Now() - active->started);
+  m_context->metrics->Observe("request_latency", SteadyNow() - active->started);
   deferred->push_back(
       [done = std::exchange(active->done, nullptr),
        reply = std::move(active->reply)]() mutable { done(std::move(reply)); });
@@ -956,7 +956,7 @@
     std::vector<std::pair<absl::string_view, std::string>> fields) const {
   fields.emplace_back("group", m_group);
   m_context->decision_log->Write({decision, reason, std::move(fields)},
-                                 absl::Now());
+                                 SteadyNow());
 }
 
 std::string GroupHome::AddressOf(const TargetId& target) const {
--- a/Source/runtime/grpc_store_client.cc
+++ b/Source/runtime/grpc_store_client.cc
@@ -1,6 +1,7 @@
 // Calls of the platform's service over gRPC.
 
 #include "Source/runtime/grpc_store_client.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <string>
 #include <utility>
@@ -25,7 +26,7 @@
                    const Request& request,
                    absl::Duration timeout) {
   grpc::ClientContext context;
-  context.set_deadline(absl::ToChronoTime(absl::Now() + timeout));
+  context.set_deadline(GrpcDeadlineIn(timeout));
   Reply reply;
   const grpc::Status status = (stub->*method)(&context, request, &reply);
   if (!status.ok()) {
--- a/Source/runtime/grpc_target_connection.cc
+++ b/Source/runtime/grpc_target_connection.cc
@@ -1,11 +1,11 @@
 // The reactor of a target's stream.
 
 #include "Source/runtime/grpc_target_connection.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -39,7 +39,7 @@
   StartRead(&m_reply);
   StartCall();
   const std::weak_ptr<GrpcTargetConnection> weak = m_self;
-  m_open_alarm.Set(absl::ToChronoTime(absl::Now() + timeout), [weak](bool ok) {
+  m_open_alarm.Set(GrpcDeadlineIn(timeout), [weak](bool ok) {
     const auto self = weak.lock();
     if (ok && self != nullptr) {
       self->Break();
--- a/Source/runtime/grpc_target_driver.cc
+++ b/Source/runtime/grpc_target_driver.cc
@@ -1,6 +1,7 @@
 // Calls of target.proto.
 
 #include "Source/runtime/grpc_target_driver.h"
+#include "Source/base/steady_clock.h"
 
 #include <memory>
 #include <utility>
@@ -8,7 +9,6 @@
 #include "Source/kernel/registry.h"
 #include "Source/runtime/grpc_target_connection.h"
 #include "Source/runtime/unary_call.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -47,7 +47,7 @@
       &Async::Status;
   StartUnaryCall<proto::Target, proto::StatusRequest, proto::StatusReply>(
       m_channels->Get(address), method, proto::StatusRequest(),
-      absl::Now() + timeout, std::move(done));
+      SteadyNow() + timeout, std::move(done));
 }
 
 void GrpcTargetDriver::WaitPosition(const std::string& address,
@@ -58,7 +58,7 @@
   StartUnaryCall<proto::Target, proto::WaitPositionRequest,
                  proto::WaitPositionReply>(
       m_channels->Get(address), method, request,
-      absl::Now() + absl::Milliseconds(request.timeout_ms()) + kAnswerTime,
+      SteadyNow() + absl::Milliseconds(request.timeout_ms()) + kAnswerTime,
       std::move(done));
 }
 
@@ -68,7 +68,7 @@
                              Callback<proto::FenceReply> done) {
   const Method<proto::FenceRequest, proto::FenceReply> method = &Async::Fence;
   StartUnaryCall<proto::Target, proto::FenceRequest, proto::FenceReply>(
-      m_channels->Get(address), method, request, absl::Now() + timeout,
+      m_channels->Get(address), method, request, SteadyNow() + timeout,
       std::move(done));
 }
 
@@ -79,7 +79,7 @@
   const Method<proto::PromoteRequest, proto::PromoteReply> method =
       &Async::Promote;
   StartUnaryCall<proto::Target, proto::PromoteRequest, proto::PromoteReply>(
-      m_channels->Get(address), method, request, absl::Now() + timeout,
+      m_channels->Get(address), method, request, SteadyNow() + timeout,
       std::move(done));
 }
 
--- a/Source/runtime/home_directory.cc
+++ b/Source/runtime/home_directory.cc
@@ -1,6 +1,7 @@
 // Creation, lookup and removal of homes.
 
 #include "Source/runtime/home_directory.h"
+#include "Source/base/steady_clock.h"
 
 #include <algorithm>
 #include <set>
@@ -82,7 +83,7 @@
   });
   if (created) {
     m_context->decision_log->Write(
-        {"open_home", "requested", {{"group", group}}}, absl::Now());
+        {"open_home", "requested", {{"group", group}}}, SteadyNow());
     home->OnSheet(snapshot);
   }
   return home;
@@ -156,7 +157,7 @@
 }
 
 void HomeDirectory::CloseUnwantedHomes(const SheetSnapshot& snapshot) {
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   for (const auto& [group, home] : m_homes.All()) {
     const bool wanted = snapshot.sheet->groups.contains(group) &&
                         (IsFirst(group) || now - home->LastUsed() < kIdleLimit);
@@ -193,7 +194,7 @@
   const auto in_use = [](const std::weak_ptr<GroupHome>& home) {
     return !home.expired();
   };
-  while (absl::Now() < deadline &&
+  while (SteadyNow() < deadline &&
          std::any_of(closing.begin(), closing.end(), in_use)) {
     absl::SleepFor(kClosePoll);
   }
--- a/Source/runtime/member_manager.cc
+++ b/Source/runtime/member_manager.cc
@@ -1,6 +1,7 @@
 // Threads, gRPC calls and the lock around Membership.
 
 #include "Source/runtime/member_manager.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,16 +22,6 @@
 constexpr absl::Duration kLeaveWait = absl::Seconds(1);
 constexpr absl::Duration kListCheckPeriod = absl::Milliseconds(100);
 
-// A time that no change of the wall clock moves.
-absl::Time MonotonicNow() {
-  return absl::UnixEpoch() +
-         absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
-}
-
-std::chrono::system_clock::time_point DeadlineIn(absl::Duration timeout) {
-  return absl::ToChronoTime(absl::Now() + timeout);
-}
-
 MemberRecord SelfRecord(const MemberInfo& own) {
   MemberRecord self;
   self.id = own.id;
@@ -77,8 +68,8 @@
       m_membership(SelfRecord(m_options.own),
                    m_options.membership,
                    m_random,
-                   MonotonicNow()),
-      m_list(m_options.list, m_random, MonotonicNow()) {
+                   SteadyNow()),
+      m_list(m_options.list, m_random, SteadyNow()) {
   std::vector<std::string> seeds = m_options.seeds;
   seeds.erase(std::remove(seeds.begin(), seeds.end(), m_options.own.address),
               seeds.end());
@@ -140,7 +131,7 @@
                                    kListCheckPeriod)) {
         return;
       }
-      if (!m_list.IsDue(MonotonicNow())) {
+      if (!m_list.IsDue(SteadyNow())) {
         continue;
       }
     }
@@ -152,7 +143,7 @@
   const auto result = m_options.store->ListInstances(m_options.list_timeout);
   if (!Ok(result)) {
     absl::MutexLock lock(&m_mutex);
-    m_list.OnReadFailed(MonotonicNow());
+    m_list.OnReadFailed(SteadyNow());
     return;
   }
   std::vector<MemberRecord> listed;
@@ -161,7 +152,7 @@
   }
   {
     absl::MutexLock lock(&m_mutex);
-    m_list.OnRead(listed.size(), MonotonicNow());
+    m_list.OnRead(listed.size(), SteadyNow());
   }
   Handle([&](Membership* membership, absl::Time now, Actions* actions) {
     membership->OnList(listed, now, actions);
@@ -175,7 +166,7 @@
   Actions actions;
   {
     absl::MutexLock lock(&m_mutex);
-    event(&m_membership, MonotonicNow(), &actions);
+    event(&m_membership, SteadyNow(), &actions);
     if (m_membership.Version() != m_published) {
       PublishView();
     }
@@ -209,7 +200,7 @@
     m_view = std::move(view);
   }
   m_store_poller = FindStorePoller();
-  m_list.SetPoller(m_store_poller, MonotonicNow());
+  m_list.SetPoller(m_store_poller, SteadyNow());
 }
 
 bool MemberManager::FindStorePoller() const {
@@ -248,7 +239,8 @@
   auto* call = new Call;
   call->send = send;
   call->stub = proto::Peer::NewStub(m_options.channels->Get(send.address));
-  call->context.set_deadline(DeadlineIn(m_options.membership.probe_deadline));
+  call->context.set_deadline(
+      GrpcDeadlineIn(m_options.membership.probe_deadline));
   FillRequest(send, &call->request);
   {
     absl::MutexLock lock(&m_mutex);
@@ -336,7 +328,7 @@
   // The sender's updates may hold a suspicion that the member can refute.
   *relayed.mutable_updates() = request.updates();
   grpc::ClientContext context;
-  context.set_deadline(DeadlineIn(m_options.membership.probe_timeout));
+  context.set_deadline(GrpcDeadlineIn(m_options.membership.probe_timeout));
   proto::ProbeReply answer;
   const auto stub =
       proto::Peer::NewStub(m_options.channels->Get(request.relay_to()));
@@ -370,7 +362,7 @@
   if (list_age_ms == 0 || list_age_ms > kOldestMs) {
     return;
   }
-  m_list.OnNews(MonotonicNow() -
+  m_list.OnNews(SteadyNow() -
                 absl::Milliseconds(static_cast<int64_t>(list_age_ms - 1)));
 }
 
@@ -379,7 +371,7 @@
     return 0;
   }
   return static_cast<uint64_t>(
-      1 + absl::ToInt64Milliseconds(MonotonicNow() - m_list.LastNews()));
+      1 + absl::ToInt64Milliseconds(SteadyNow() - m_list.LastNews()));
 }
 
 // MemberSource ------------------------------------------------------------
--- a/Source/runtime/operator_service.cc
+++ b/Source/runtime/operator_service.cc
@@ -1,13 +1,13 @@
 // Answers of an instance to operators.
 
 #include "Source/runtime/operator_service.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <memory>
 #include <utility>
 
 #include "Source/runtime/request_rules.h"
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 #include "grpcpp/client_context.h"
 
 namespace heatherwick {
@@ -111,7 +111,7 @@
   const auto stub =
       proto::Operator::NewStub(m_context->channels->Get(first.address));
   grpc::ClientContext context;
-  context.set_deadline(absl::ToChronoTime(absl::Now() + kHomeTimeout));
+  context.set_deadline(GrpcDeadlineIn(kHomeTimeout));
   proto::ListGroupsRequest request;
   request.set_group(group);
   request.set_at_home(true);
--- a/Source/runtime/peer_service.cc
+++ b/Source/runtime/peer_service.cc
@@ -1,11 +1,10 @@
 // Requests that other instances forward, probes and sheets.
 
 #include "Source/runtime/peer_service.h"
+#include "Source/base/steady_clock.h"
 
 #include <utility>
 
-#include "absl/time/clock.h"
-
 namespace heatherwick {
 
 namespace {
@@ -48,7 +47,7 @@
     return reactor;
   }
   const absl::Time deadline =
-      absl::Now() + absl::Milliseconds(request->deadline_ms());
+      SteadyNow() + absl::Milliseconds(request->deadline_ms());
   const auto done = [reactor, reply](proto::ExecuteReply executed) {
     *reply->mutable_reply() = std::move(executed);
     reactor->Finish(grpc::Status::OK);
--- a/Source/runtime/proxy_service.cc
+++ b/Source/runtime/proxy_service.cc
@@ -1,12 +1,12 @@
 // Passes callers' requests to the routing.
 
 #include "Source/runtime/proxy_service.h"
+#include "Source/base/steady_clock.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "Source/runtime/request_rules.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -15,8 +15,8 @@
 // The earlier of the request's own deadline and that of its call.
 absl::Time DeadlineOfCall(const grpc::CallbackServerContext& context,
                           absl::Duration own) {
-  const absl::Time call = absl::FromChrono(context.deadline());
-  return std::min(absl::Now() + own, call);
+  const absl::Time call = SteadyDeadline(context);
+  return std::min(SteadyNow() + own, call);
 }
 
 RoutedRequest::Done ReplyWith(const RoutingContext* context,
--- a/Source/runtime/routed_request.cc
+++ b/Source/runtime/routed_request.cc
@@ -1,6 +1,7 @@
 // Candidates, forwarding and repetition of one request.
 
 #include "Source/runtime/routed_request.h"
+#include "Source/base/steady_clock.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,7 +10,6 @@
 #include "Source/runtime/unary_call.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "absl/time/clock.h"
 
 namespace heatherwick {
 
@@ -38,7 +38,7 @@
       m_done(std::move(done)),
       m_pause(kFirstPause) {
   ++m_context->in_flight;
-  m_context->last_arrival_us = absl::ToUnixMicros(absl::Now());
+  m_context->last_arrival_us = absl::ToUnixMicros(SteadyNow());
 }
 
 RoutedRequest::~RoutedRequest() {
@@ -156,7 +156,7 @@
 }
 
 void RoutedRequest::TryNext() {
-  if (absl::Now() >= m_deadline) {
+  if (SteadyNow() >= m_deadline) {
     FinishError(
         m_may_have_run ? proto::UNKNOWN : proto::NOT_RUN,
         Error{ErrorKind::kDeadlineExceeded,
@@ -221,14 +221,14 @@
   forward.set_candidate(static_cast<uint32_t>(m_next - 1));
   forward.set_forced(forced);
   forward.set_deadline_ms(static_cast<uint32_t>(std::max<int64_t>(
-      1, absl::ToInt64Milliseconds(m_deadline - absl::Now()))));
+      1, absl::ToInt64Milliseconds(m_deadline - SteadyNow()))));
   if (m_resolving) {
     *forward.mutable_resolve() = m_resolve;
   } else {
     *forward.mutable_execute() = m_execute;
   }
   const PeerWatch::CallId call =
-      m_context->peer_watch.OnSent(candidate.id, absl::Now());
+      m_context->peer_watch.OnSent(candidate.id, SteadyNow());
   const ForwardMethod method = &Async::Forward;
   CancelCall cancel =
       StartUnaryCall<proto::Peer, proto::ForwardRequest, proto::ForwardReply>(
@@ -236,7 +236,7 @@
           [self = shared_from_this(), candidate,
            call](Result<proto::ForwardReply> result) {
             self->m_context->peer_watch.OnEnded(candidate.id, call,
-                                                absl::Now());
+                                                SteadyNow());
             self->OnReply(candidate, std::move(result));
           });
   m_context->peer_watch.OnStarted(candidate.id, call, std::move(cancel));
@@ -315,7 +315,7 @@
 }
 
 void RoutedRequest::RetryLater(absl::string_view reason) {
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   if (now >= m_deadline) {
     FinishError(
         m_may_have_run ? proto::UNKNOWN : proto::NOT_RUN,
@@ -352,7 +352,7 @@
                         const InstanceId& candidate) const {
   m_context->decision_log->Write(
       {decision, reason, {{"group", Group()}, {"instance", candidate}}},
-      absl::Now());
+      SteadyNow());
 }
 
 }  // namespace heatherwick
--- a/Source/runtime/sheet_manager.cc
+++ b/Source/runtime/sheet_manager.cc
@@ -1,6 +1,8 @@
 // The thread's loop and the calls of peers and operators.
 
 #include "Source/runtime/sheet_manager.h"
+#include "Source/base/steady_clock.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <algorithm>
 #include <utility>
@@ -125,7 +127,8 @@
     m_mutex.AssertReaderHeld();
     return m_held->head.version >= version;
   };
-  return m_mutex.AwaitWithDeadline(absl::Condition(&in_force), deadline);
+  return m_mutex.AwaitWithTimeout(absl::Condition(&in_force),
+                                  deadline - SteadyNow());
 }
 
 void SheetManager::Run() {
@@ -148,7 +151,7 @@
     for (const Event& event : events) {
       Handle(event, &actions);
     }
-    m_acceptance.OnTick(m_options.is_poller(), absl::Now(), &actions);
+    m_acceptance.OnTick(m_options.is_poller(), SteadyNow(), &actions);
     // Performing an action may add further ones.
     while (!actions.empty() && !IsStopping()) {
       const Actions present = std::exchange(actions, {});
@@ -161,7 +164,7 @@
 
 void SheetManager::Handle(const Event& event, Actions* actions) {
   if (const auto* seen = std::get_if<SeenVersion>(&event)) {
-    m_acceptance.OnVersionSeen(seen->version, seen->address, absl::Now(),
+    m_acceptance.OnVersionSeen(seen->version, seen->address, SteadyNow(),
                                actions);
     return;
   }
@@ -188,7 +191,7 @@
 
 void SheetManager::PerformReadHead(Actions* actions) {
   const Result<StoredHead> stored = m_store.ReadHead();
-  const absl::Time now = absl::Now();
+  const absl::Time now = SteadyNow();
   if (Ok(stored) != m_store_answers) {
     m_store_answers = Ok(stored);
     m_options.record(
@@ -221,8 +224,7 @@
       break;
     }
     grpc::ClientContext context;
-    context.set_deadline(
-        absl::ToChronoTime(absl::Now() + m_options.peer_timeout));
+    context.set_deadline(GrpcDeadlineIn(m_options.peer_timeout));
     proto::FetchSheetReply reply;
     const auto stub = proto::Peer::NewStub(m_options.channels->Get(address));
     if (!stub->FetchSheet(&context, request, &reply).ok()) {
@@ -232,15 +234,15 @@
     proto::SheetHead head;
     if (reply.version() >= fetch.at_least_version &&
         head.ParseFromString(reply.head())) {
-      m_acceptance.OnContent(FromProto(head), reply.content(), absl::Now(),
+      m_acceptance.OnContent(FromProto(head), reply.content(), SteadyNow(),
                              actions);
       return;
     }
   }
   if (answered) {
-    m_acceptance.OnNothingNewer(absl::Now());
+    m_acceptance.OnNothingNewer(SteadyNow());
   } else {
-    m_acceptance.OnFetchFailed(absl::Now());
+    m_acceptance.OnFetchFailed(SteadyNow());
   }
 }
 
@@ -248,9 +250,9 @@
                                          Actions* actions) {
   const Result<std::string> content = m_store.ReadContent(fetch.head);
   if (Ok(content)) {
-    m_acceptance.OnContent(fetch.head, ValueOf(content), absl::Now(), actions);
+    m_acceptance.OnContent(fetch.head, ValueOf(content), SteadyNow(), actions);
   } else {
-    m_acceptance.OnFetchFailed(absl::Now());
+    m_acceptance.OnFetchFailed(SteadyNow());
   }
 }
 
@@ -313,7 +315,7 @@
   head.submitted_unix_ms = absl::ToUnixMillis(absl::Now());
   head.base_version = request.base_version();
   const SubmissionEnded ended = m_store.Submit(
-      head, request.content(), absl::Now() + m_options.submission_limit);
+      head, request.content(), SteadyNow() + m_options.submission_limit);
   RecordSubmission(head, ended.outcome);
   FillSubmission(ended, head.base_version, reply);
   // A repeated id with another text is accepted in its first text only.
@@ -323,7 +325,7 @@
       m_events.emplace_back(Submitted{ended.head, request.content()});
       m_wake = true;
     }
-    WaitFor(ended.head.version, absl::Now() + m_options.store_timeout);
+    WaitFor(ended.head.version, SteadyNow() + m_options.store_timeout);
   }
 }
 
--- a/Source/runtime/sheet_store.cc
+++ b/Source/runtime/sheet_store.cc
@@ -1,6 +1,7 @@
 // Rows hold serialized proto::SheetHead messages, objects the CSV text.
 
 #include "Source/runtime/sheet_store.h"
+#include "Source/base/steady_clock.h"
 
 #include <optional>
 #include <variant>
@@ -111,20 +112,20 @@
     if (const auto* store = std::get_if<StoreContent>(&step.action)) {
       const Status stored =
           m_client->PutObject(store->name, content, m_timeout);
-      step = submission.OnContentStored(Ok(stored), absl::Now());
+      step = submission.OnContentStored(Ok(stored), SteadyNow());
     } else if (const auto* history =
                    std::get_if<StoreHistoryRow>(&step.action)) {
       const bool stored = WriteHistory(history->head);
-      step = submission.OnHistoryStored(stored, absl::Now());
+      step = submission.OnHistoryStored(stored, SteadyNow());
     } else if (const auto* read = std::get_if<ReadHistoryRow>(&step.action)) {
       const Result<SheetHead> row = ReadHistory(read->version);
-      step = submission.OnHistory(OptionalOf(row), absl::Now());
+      step = submission.OnHistory(OptionalOf(row), SteadyNow());
     } else if (const auto* replace = std::get_if<ReplaceHead>(&step.action)) {
       const HeadWrite result = WriteHead(*replace);
-      step = submission.OnHeadWritten(result, absl::Now());
+      step = submission.OnHeadWritten(result, SteadyNow());
     } else {
       const Result<StoredHead> stored = ReadHead();
-      step = submission.OnHead(OptionalOf(stored), absl::Now());
+      step = submission.OnHead(OptionalOf(stored), SteadyNow());
     }
   }
 }
--- a/Source/runtime/timer_queue.cc
+++ b/Source/runtime/timer_queue.cc
@@ -1,11 +1,10 @@
 // The thread of the timer queue.
 
 #include "Source/runtime/timer_queue.h"
+#include "Source/base/steady_clock.h"
 
 #include <utility>
 
-#include "absl/time/clock.h"
-
 namespace heatherwick {
 
 TimerQueue::TimerQueue() : m_thread([this] { Run(); }) {}
@@ -30,7 +29,7 @@
       absl::MutexLock lock(&m_mutex);
       const auto due = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
         return m_stopping ||
-               (!m_queue.empty() && m_queue.begin()->first <= absl::Now());
+               (!m_queue.empty() && m_queue.begin()->first <= SteadyNow());
       };
       const absl::Time next =
           m_queue.empty() ? absl::InfiniteFuture() : m_queue.begin()->first;
@@ -41,7 +40,7 @@
         return m_stopping ||
                (!m_queue.empty() && m_queue.begin()->first < next);
       };
-      m_mutex.AwaitWithDeadline(absl::Condition(&changed), next);
+      m_mutex.AwaitWithTimeout(absl::Condition(&changed), next - SteadyNow());
       if (!due()) {
         continue;
       }
--- a/Source/runtime/unary_call.h
+++ b/Source/runtime/unary_call.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Source/base/error.h"
+#include "Source/runtime/grpc_deadline.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
 #include "grpcpp/channel.h"
@@ -41,7 +42,7 @@
   using Call = UnaryCall<Service, Request, Reply>;
   auto call = std::make_shared<Call>();
   call->stub = Service::NewStub(std::move(channel));
-  call->context.set_deadline(absl::ToChronoTime(deadline));
+  call->context.set_deadline(GrpcDeadline(deadline));
   call->request = std::move(request);
   Call* const raw = call.get();
   const std::weak_ptr<Call> weak = call;
--- /dev/null
+++ b/Tests/runtime/clock_step_test.cc
@@ -0,0 +1,127 @@
+// Guards against deadlines and timers that follow the time of day. The linker
+// replaces the product's absl::Now() by one that this test steps; see
+// CMakeLists.txt.
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+
+#include "Source/base/steady_clock.h"
+#include "Source/proto/platform.grpc.pb.h"
+#include "Source/runtime/timer_queue.h"
+#include "Source/runtime/unary_call.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "doctest/doctest.h"
+#include "grpcpp/create_channel.h"
+#include "grpcpp/security/credentials.h"
+
+namespace {
+std::atomic<int64_t> g_step_seconds = 0;
+}  // namespace
+
+// The linker gives these names.
+// NOLINTBEGIN(bugprone-reserved-identifier)
+extern "C" {
+absl::Time __real__ZN4absl7debian33NowEv();
+absl::Time __wrap__ZN4absl7debian33NowEv() {
+  return __real__ZN4absl7debian33NowEv() + absl::Seconds(g_step_seconds.load());
+}
+}
+// NOLINTEND(bugprone-reserved-identifier)
+
+namespace heatherwick {
+namespace {
+
+constexpr absl::Duration kWait = absl::Milliseconds(400);
+constexpr absl::Duration kEarly = absl::Milliseconds(390);
+constexpr absl::Duration kLate = absl::Milliseconds(1500);
+
+// A listener that accepts nothing, so that a call gets no answer.
+class SilentListener {
+ public:
+  SilentListener() : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    REQUIRE(bind(m_socket, reinterpret_cast<sockaddr*>(&address), length) == 0);
+    REQUIRE(listen(m_socket, 1) == 0);
+    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &length);
+    m_address = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+  }
+  ~SilentListener() { close(m_socket); }
+
+  const std::string& Address() const { return m_address; }
+
+ private:
+  const int m_socket;
+  std::string m_address;
+};
+
+class ClockStepFixture {
+ protected:
+  ~ClockStepFixture() { g_step_seconds = 0; }
+
+  void StepDuringWait(int64_t seconds, absl::Notification* done) {
+    const absl::Time start = SteadyNow();
+    absl::SleepFor(absl::Milliseconds(100));
+    g_step_seconds = seconds;
+    done->WaitForNotificationWithTimeout(absl::Seconds(10));
+    const absl::Duration waited = SteadyNow() - start;
+    CHECK(waited >= kEarly);
+    CHECK(waited <= kLate);
+  }
+
+  void CheckTimer(int64_t seconds) {
+    absl::Notification done;
+    TimerQueue timers;
+    timers.RunAt(SteadyNow() + kWait, [&done]() { done.Notify(); });
+    StepDuringWait(seconds, &done);
+  }
+
+  void CheckCall(int64_t seconds) {
+    SilentListener listener;
+    absl::Notification done;
+    using Async = proto::Platform::Stub::async_interface;
+    using Method = void (Async::*)(
+        grpc::ClientContext*, const proto::ReadRowRequest*,
+        proto::ReadRowReply*, std::function<void(grpc::Status)>);
+    StartUnaryCall<proto::Platform, proto::ReadRowRequest, proto::ReadRowReply>(
+        grpc::CreateChannel(listener.Address(),
+                            grpc::InsecureChannelCredentials()),
+        static_cast<Method>(&Async::ReadRow), {}, SteadyNow() + kWait,
+        [&done](const Result<proto::ReadRowReply>&) { done.Notify(); });
+    StepDuringWait(seconds, &done);
+  }
+};
+
+TEST_CASE_FIXTURE(ClockStepFixture, "TimerQueue_TimeOfDayAhead_FiresOnTime") {
+  CheckTimer(6);
+}
+
+TEST_CASE_FIXTURE(ClockStepFixture, "TimerQueue_TimeOfDayBack_FiresOnTime") {
+  CheckTimer(-6);
+}
+
+TEST_CASE_FIXTURE(ClockStepFixture, "UnaryCall_TimeOfDayAhead_EndsOnTime") {
+  CheckCall(6);
+}
+
+TEST_CASE_FIXTURE(ClockStepFixture, "UnaryCall_TimeOfDayBack_EndsOnTime") {
+  CheckCall(-6);
+}
+
+TEST_CASE_FIXTURE(ClockStepFixture, "SteadyNow_TimeOfDaySteps_DoesNotMove") {
+  const absl::Time before = SteadyNow();
+  g_step_seconds = -6;
+  CHECK(SteadyNow() - before < absl::Seconds(1));
+  CHECK(SteadyNow() >= before);
+}
+
+}  // namespace
+}  // namespace heatherwick
--- a/Tests/runtime/fake_driver.h
+++ b/Tests/runtime/fake_driver.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "Source/base/steady_clock.h"
 #include "Source/runtime/target_driver.h"
 #include "Source/runtime/timer_queue.h"
 #include "absl/base/thread_annotations.h"
@@ -118,7 +119,7 @@
   }
 
   void Later(std::function<void()> work) {
-    m_timers[m_next++ % 2].RunAt(absl::Now(), std::move(work));
+    m_timers[m_next++ % 2].RunAt(SteadyNow(), std::move(work));
   }
 
   std::atomic<char> m_primary{'a'};
--- a/Tests/runtime/group_home_test.cc
+++ b/Tests/runtime/group_home_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "Source/base/steady_clock.h"
 #include "Tests/runtime/group_home_fixture.h"
 #include "doctest/doctest.h"
 
@@ -15,9 +16,9 @@
   // Ticks until `condition` holds; false after five seconds.
   template <typename Condition>
   bool TickUntil(Condition condition) {
-    const absl::Time end = absl::Now() + absl::Seconds(5);
+    const absl::Time end = SteadyNow() + absl::Seconds(5);
     while (!condition()) {
-      if (absl::Now() >= end) {
+      if (SteadyNow() >= end) {
         return false;
       }
       m_home->Tick();
@@ -38,7 +39,7 @@
     request.set_group("g");
     request.set_operation(operation);
     request.set_statement("GET key");
-    m_home->Execute(request, absl::Now() + absl::Seconds(3),
+    m_home->Execute(request, SteadyNow() + absl::Seconds(3),
                     [outcome = m_outcome](const proto::ExecuteReply& reply) {
                       *outcome = reply.outcome();
                     });
--- a/Tests/runtime/group_home_threads_test.cc
+++ b/Tests/runtime/group_home_threads_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "Source/base/steady_clock.h"
 #include "Source/kernel/shard_map.h"
 #include "Tests/runtime/group_home_fixture.h"
 #include "absl/strings/str_cat.h"
@@ -46,7 +47,7 @@
       const std::string expected = request.statement();
       absl::Mutex mutex;
       bool replied = false;
-      m_home->Execute(request, absl::Now() + absl::Seconds(20),
+      m_home->Execute(request, SteadyNow() + absl::Seconds(20),
                       [&](const proto::ExecuteReply& reply) {
                         absl::MutexLock lock(&mutex);
                         m_right += reply.outcome() == proto::DONE &&
@@ -54,8 +55,7 @@
                         replied = true;
                       });
       absl::MutexLock lock(&mutex);
-      mutex.AwaitWithDeadline(absl::Condition(&replied),
-                              absl::Now() + absl::Seconds(30));
+      mutex.AwaitWithTimeout(absl::Condition(&replied), absl::Seconds(30));
     }
   }
 
--- a/Tests/runtime/member_manager_test.cc
+++ b/Tests/runtime/member_manager_test.cc
@@ -1,6 +1,7 @@
 // Tests MemberManager over real gRPC connections on the loopback address.
 
 #include "Source/runtime/member_manager.h"
+#include "Source/runtime/grpc_deadline.h"
 
 #include <atomic>
 #include <functional>
@@ -83,7 +84,7 @@
   }
   ~Instance() override {
     m_manager->Stop();
-    m_server->Shutdown(absl::ToChronoTime(absl::Now()));
+    m_server->Shutdown(GrpcDeadlineIn(absl::ZeroDuration()));
     m_server->Wait();
   }
 
--- a/Tests/runtime/sheet_manager_test.cc
+++ b/Tests/runtime/sheet_manager_test.cc
@@ -1,6 +1,7 @@
 // Tests the sheet manager with a store in memory and a peer over gRPC.
 
 #include "Source/runtime/sheet_manager.h"
+#include "Source/base/steady_clock.h"
 
 #include <memory>
 #include <string>
@@ -83,7 +84,7 @@
   }
 
   static bool Reaches(SheetManager* manager, uint64_t version) {
-    return manager->WaitFor(version, absl::Now() + absl::Seconds(8));
+    return manager->WaitFor(version, SteadyNow() + absl::Seconds(8));
   }
 
   MemoryStore m_store;
@@ -106,7 +107,7 @@
   REQUIRE(Reaches(poller.get(), 2));
   third->Seek(2, server.Address());
   // Sooner than it would read the head by itself.
-  CHECK(third->WaitFor(2, absl::Now() + absl::Seconds(3)));
+  CHECK(third->WaitFor(2, SteadyNow() + absl::Seconds(3)));
   CHECK(third->Current().sheet->callers.at("c").share == 5);
 }
 
--- a/Tests/runtime/target_connection_test.cc
+++ b/Tests/runtime/target_connection_test.cc
@@ -1,5 +1,6 @@
 // Tests a target's connection against a target that answers wrongly.
 
+#include "Source/runtime/grpc_deadline.h"
 #include "Source/runtime/grpc_target_connection.h"
 
 #include <memory>
@@ -57,7 +58,7 @@
       m_connection->Close();
     }
     if (m_server != nullptr) {
-      m_server->Shutdown(absl::ToChronoTime(absl::Now()));
+      m_server->Shutdown(GrpcDeadlineIn(absl::ZeroDuration()));
     }
   }
 
--- a/Tests/runtime/tsan_mutex.cc
+++ b/Tests/runtime/tsan_mutex.cc
@@ -16,10 +16,10 @@
 
 void __real__ZN4absl7debian35Mutex4LockEv(absl::Mutex* mutex);
 void __real__ZN4absl7debian35Mutex6UnlockEv(absl::Mutex* mutex);
-bool __real__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
+bool __real__ZN4absl7debian35Mutex16AwaitWithTimeoutERKNS0_9ConditionENS0_8DurationE(
     absl::Mutex* mutex,
     const absl::Condition& condition,
-    absl::Time deadline);
+    absl::Duration timeout);
 
 void __wrap__ZN4absl7debian35Mutex4LockEv(absl::Mutex* mutex) {
   __real__ZN4absl7debian35Mutex4LockEv(mutex);
@@ -34,15 +34,15 @@
   AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
 }
 
-bool __wrap__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
+bool __wrap__ZN4absl7debian35Mutex16AwaitWithTimeoutERKNS0_9ConditionENS0_8DurationE(
     absl::Mutex* mutex,
     const absl::Condition& condition,
-    absl::Time deadline) {
+    absl::Duration timeout) {
   __tsan_release(mutex);
   AnnotateIgnoreReadsBegin(__FILE__, __LINE__);
   const bool holds =
-      __real__ZN4absl7debian35Mutex17AwaitWithDeadlineERKNS0_9ConditionENS0_4TimeE(
-          mutex, condition, deadline);
+      __real__ZN4absl7debian35Mutex16AwaitWithTimeoutERKNS0_9ConditionENS0_8DurationE(
+          mutex, condition, timeout);
   AnnotateIgnoreReadsEnd(__FILE__, __LINE__);
   __tsan_acquire(mutex);
   return holds;
