platform: Test the whole path before stand-ins of the platform

Change: stand-ins of the store, a group of databases and the promotion speak the published protocols on loopback; two instances with their real sockets serve callers before them: statements, bad input, a change of configuration, a crashed primary, a refused store, a graceful stop.

--- a/Source/gateway/asio_event_loop.cc
+++ b/Source/gateway/asio_event_loop.cc
@@ -30,7 +30,8 @@
   }
   ~AsioTimer() override {
     m_state->task = nullptr;
-    m_state->timer.cancel();
+    boost::system::error_code ignored;
+    m_state->timer.cancel(ignored);
   }
 
  private:
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -84,7 +84,7 @@
   m_gateway->Decisions()->Write(record, now);
 }
 
-void CallerSession::Answer(Reply reply) {
+void CallerSession::Answer(const Reply& reply) {
   m_timeout_timer.reset();
   m_slow_timer.reset();
   m_retry_timer.reset();
@@ -104,7 +104,7 @@
   if (m_own_position.term > 0) {
     reply.position = m_own_position;
   }
-  Answer(std::move(reply));
+  Answer(reply);
 }
 
 void CallerSession::OnStatement(Statement statement) {
@@ -458,7 +458,7 @@
   if (!m_in_transaction) {
     m_wrote = false;
   }
-  Answer(std::move(reply));
+  Answer(reply);
 }
 
 void CallerSession::OnNotRun(const Reply& reply) {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -84,7 +84,7 @@
     std::string target_name;
   };
 
-  void Answer(Reply reply);
+  void Answer(const Reply& reply);
   void AnswerLocally(ReplyCode code, const std::string& text);
   void Begin(const Statement& statement);
   void Rollback();
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -80,9 +80,9 @@
   UpdateLimits();
 }
 
-void Gateway::OnTargets(std::vector<ListedTarget> targets) {
+void Gateway::OnTargets(const std::vector<ListedTarget>& targets) {
   std::map<GroupName, std::set<TargetId>> listed;
-  for (ListedTarget& target : targets) {
+  for (const ListedTarget& target : targets) {
     Group& group = m_groups[target.group];
     listed[target.group].insert(target.id);
     std::unique_ptr<TargetPool>& pool = group.pools[target.id];
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -39,7 +39,7 @@
   // Keeps the newest version; an older one is ignored.
   void OnConfiguration(Configuration configuration);
   // The whole list of targets as of now.
-  void OnTargets(std::vector<ListedTarget> targets);
+  void OnTargets(const std::vector<ListedTarget>& targets);
 
   bool Configured() const { return m_configuration.version > 0; }
   uint64_t ConfigurationVersion() const { return m_configuration.version; }
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -225,7 +225,7 @@
     void Finish(std::optional<TargetStatus> status) {
       timer.reset();
       if (done) {
-        std::exchange(done, nullptr)(std::move(status));
+        std::exchange(done, nullptr)(status);
       }
     }
   };
@@ -257,16 +257,14 @@
     if (*alive && query->connection != nullptr) {
       Drop(query->connection);
     }
-    const auto keep = query;
-    keep->Finish(std::nullopt);
+    std::shared_ptr(query)->Finish(std::nullopt);
   });
   TargetCommand command;
   command.kind = StatementKind::kStatus;
   Send(connection, command, [this, query, connection](const Reply& reply) {
-    std::optional<TargetStatus> status = m_driver->ParseStatus(reply);
+    const std::optional<TargetStatus> status = m_driver->ParseStatus(reply);
     Release(connection);
-    const auto keep = query;
-    keep->Finish(std::move(status));
+    std::shared_ptr(query)->Finish(status);
   });
 }
 
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -217,8 +217,9 @@
         old = id;
       }
     }
-    for (const auto& [name, node] : m_nodes) {
-      CHECK_MESSAGE(!node->Manager().MayAcknowledge(group, old), name,
+    for (const auto& entry : m_nodes) {
+      const std::string& name = entry.first;
+      CHECK_MESSAGE(!entry.second->Manager().MayAcknowledge(group, old), name,
                     " may acknowledge for ", old, " while ", target,
                     " is promoted");
     }
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -36,7 +36,7 @@
 class SharedStoreFixture {
  protected:
   struct Instance : PeerTransport {
-    Instance(SharedStoreFixture* fixture, std::string name)
+    Instance(SharedStoreFixture* fixture, const std::string& name)
         : owner(fixture),
           id(name),
           direct(&fixture->m_loop, &fixture->m_table),
--- /dev/null
+++ b/Tests/platform/whole_path_test.cc
@@ -0,0 +1,255 @@
+// The whole path without the users' bench: two instances with their real
+// sockets, HTTP and gRPC, before stand-ins of the store and of a group of
+// databases. Guards against parts that work alone and not together.
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Source/base/steady_clock.h"
+#include "Tests/platform/platform_standin.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "boost/asio/read_until.hpp"
+#include "boost/asio/write.hpp"
+#include "boost/beast/core.hpp"
+#include "boost/beast/http.hpp"
+#include "doctest/doctest.h"
+#include "platform/platform_daemon.h"
+
+namespace heatherwick::platform {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr absl::Duration kSoon = absl::Seconds(10);
+
+uint16_t FreePort() {
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(
+      context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint().port();
+}
+
+class Caller {
+ public:
+  Caller(const Endpoint& endpoint, const std::string& database)
+      : m_socket(m_context) {
+    error_code error;
+    m_socket.connect(tcp::endpoint(boost::asio::ip::make_address(endpoint.host),
+                                   endpoint.port),
+                     error);
+    m_greeting = error ? error.message()
+                       : Send(absl::StrCat("START ", database, " u1\r\n"));
+  }
+
+  const std::string& Greeting() const { return m_greeting; }
+
+  std::string Query(const std::string& text) {
+    static std::atomic<int> number = 0;
+    return Send(absl::StrCat("QUERY q", ++number, " ", text, "\r\n"));
+  }
+
+  // Sends and returns everything up to READY, or up to the end.
+  std::string Send(const std::string& bytes) {
+    error_code error;
+    boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
+    std::string all;
+    while (!error) {
+      const size_t length = boost::asio::read_until(
+          m_socket, boost::asio::dynamic_buffer(m_buffer), "\r\n", error);
+      if (error) {
+        return all + "closed";
+      }
+      const std::string line = m_buffer.substr(0, length);
+      m_buffer.erase(0, length);
+      all += line;
+      if (absl::StartsWith(line, "READY")) {
+        return all;
+      }
+    }
+    return all + error.message();
+  }
+
+ private:
+  boost::asio::io_context m_context;
+  tcp::socket m_socket;
+  std::string m_buffer;
+  std::string m_greeting;
+};
+
+// Everything stays until the process ends: threads of the servers use it.
+struct World {
+  World() {
+    store.on_promote = [this](const std::string&, const std::string& id) {
+      group.Promote(id);
+      return 200U;
+    };
+    store.Put("op", "config", Document(3, "orders"));
+    store.Put("servers", "foreign", "\xff\xfe");
+    for (int index = 0; index < 2; ++index) {
+      NodeSettings settings;
+      settings.node_name = absl::StrCat("node-", index);
+      settings.zone = "z-a";
+      settings.callers = {"127.0.0.1", FreePort()};
+      settings.readiness = {"127.0.0.1", FreePort()};
+      settings.first_internal_port = FreePort();
+      settings.store = ValueOf(ParseEndpoint(store.Address()));
+      settings.promotion_api = settings.store;
+      endpoints.push_back(settings);
+      daemons.push_back(std::make_unique<PlatformDaemon>(settings));
+      REQUIRE(Ok(daemons.back()->Start()));
+      threads.emplace_back([daemon = daemons.back().get(), this, index]() {
+        daemon->Run();
+        ended[index] = true;
+      });
+      threads.back().detach();
+    }
+  }
+
+  static std::string Document(int version, const std::string& database) {
+    return absl::StrCat(
+        R"({"version":)", version, R"(,"routes":[{"name":"r","host":")",
+        database,
+        R"(","type":"primary","timeoutMs":3000,"targetLatencyMs":200,)"
+        R"("priority":1,"service":"s"},{"name":"v","host":"views",)"
+        R"("type":"bounded_staleness","timeoutMs":3000,"targetLatencyMs":200,)"
+        R"("priority":2,"service":"s","maxStalenessMs":1500}],)"
+        R"("services":[{"name":"s","maxConnections":16}],"limits":{}})");
+  }
+
+  unsigned Ready(int index) const {
+    namespace http = boost::beast::http;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    error_code error;
+    socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                 endpoints[index].readiness.port),
+                   error);
+    http::request<http::empty_body> request(http::verb::get,
+                                            "/heatherwick/ready", 11);
+    http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    http::read(socket, buffer, response, error);
+    return error ? 0 : response.result_int();
+  }
+
+  StandInStore store;
+  StandInGroup group{"s", 3, &store};
+  std::vector<NodeSettings> endpoints;
+  std::vector<std::unique_ptr<PlatformDaemon>> daemons;
+  std::vector<std::thread> threads;
+  std::atomic<bool> ended[2] = {false, false};
+};
+
+class WholePathFixture {
+ protected:
+  WholePathFixture() {
+    CHECK(Within(kSoon, [this]() {
+      return m_world.Ready(0) == 200 && m_world.Ready(1) == 200;
+    }));
+  }
+
+  template <typename Condition>
+  static bool Within(absl::Duration time, const Condition& condition) {
+    const absl::Time end = SteadyNow() + time;
+    while (!condition()) {
+      if (SteadyNow() >= end) {
+        return false;
+      }
+      absl::SleepFor(absl::Milliseconds(20));
+    }
+    return true;
+  }
+
+  const Endpoint& At(int index) const {
+    return m_world.endpoints[index].callers;
+  }
+
+  World& m_world = *new World();
+};
+
+TEST_CASE_FIXTURE(WholePathFixture,
+                  "WholePath_StatementsAndTransactions_AreServed") {
+  Caller caller(At(0), "orders");
+  CHECK(absl::StartsWith(caller.Greeting(), "READY I"));
+  CHECK(absl::StrContains(caller.Query("WRITE k v1"), "COMPLETE write.s-0"));
+  Caller other(At(1), "orders");
+  CHECK(absl::StrContains(other.Query("READ k"), "DATAROW v1\r\n"));
+  CHECK(absl::StrContains(caller.Query("BEGIN"), "READY T"));
+  CHECK(absl::StrContains(caller.Query("WRITE k v2"), "READY T"));
+  CHECK(absl::StrContains(caller.Query("COMMIT"), "COMPLETE commit"));
+  CHECK(m_world.group.Committed() == std::vector<std::string>{"v1", "v2"});
+  CHECK(absl::StrContains(caller.Query("PREPARE p WRITE q"), "COMPLETE -"));
+  CHECK(absl::StrContains(caller.Query("EXECUTE p k v3"), "COMPLETE write"));
+  CHECK(absl::StrContains(caller.Query("EXECUTE x k v3"), "NOSTMT"));
+  Caller reader(At(1), "views");
+  CHECK(absl::StrContains(reader.Query("READ k"), "COMPLETE read.s-"));
+}
+
+// Bad input gets an error and disturbs nobody else.
+TEST_CASE_FIXTURE(WholePathFixture, "WholePath_BadInput_GetsAnError") {
+  Caller good(At(0), "orders");
+  CHECK(absl::StrContains(Caller(At(0), "nowhere").Greeting(), "ERROR NODB"));
+  Caller bad(At(0), "orders");
+  CHECK(absl::StrContains(bad.Query("DROP everything"), "ERROR MALFORMED"));
+  CHECK(absl::StrContains(bad.Query("READ k"), "READY I"));
+  CHECK(absl::StrContains(bad.Send(std::string((1 << 20) + 16, 'x')),
+                          "ERROR TOOBIG"));
+  CHECK(absl::StrContains(good.Query("READ k"), "READY I"));
+}
+
+TEST_CASE_FIXTURE(WholePathFixture,
+                  "WholePath_ConfigurationChanges_IsInForce") {
+  Caller caller(At(0), "orders");
+  m_world.store.Put("op", "config", World::Document(9, "bookings"));
+  CHECK(Within(absl::Seconds(3), [this]() {
+    return absl::StartsWith(Caller(At(0), "bookings").Greeting(), "READY") &&
+           absl::StartsWith(Caller(At(1), "bookings").Greeting(), "READY");
+  }));
+  CHECK(absl::StrContains(caller.Query("READ k"), "ERROR NODB"));
+}
+
+TEST_CASE_FIXTURE(WholePathFixture, "WholePath_PrimaryCrashes_IsReplaced") {
+  Caller before(At(0), "orders");
+  CHECK(absl::StrContains(before.Query("WRITE k v1"), "COMPLETE"));
+  const absl::Time crash = SteadyNow();
+  m_world.group.Crash("s-0");
+  CHECK(Within(kSoon, [this]() {
+    return absl::StrContains(Caller(At(1), "orders").Query("WRITE k v2"),
+                             "COMPLETE write.s-");
+  }));
+  MESSAGE("writes again after ", absl::ToInt64Milliseconds(SteadyNow() - crash),
+          " ms");
+  CHECK(m_world.group.Primary() != "s-0");
+  CHECK(absl::StrContains(Caller(At(0), "orders").Query("READ k"), "v2"));
+}
+
+// A refused store must not stop service while the instances hear each other.
+TEST_CASE_FIXTURE(WholePathFixture, "WholePath_StoreBusy_GoesOnServing") {
+  Caller caller(At(0), "orders");
+  CHECK(absl::StrContains(caller.Query("WRITE k v1"), "COMPLETE write"));
+  m_world.store.SetBusy(true);
+  absl::SleepFor(absl::Seconds(4));
+  const std::string reply = caller.Query("WRITE k v9");
+  CHECK_MESSAGE(absl::StrContains(reply, "COMPLETE write"), reply);
+  m_world.store.SetBusy(false);
+}
+
+TEST_CASE_FIXTURE(WholePathFixture, "WholePath_StopRequested_EndsGracefully") {
+  Caller caller(At(0), "orders");
+  CHECK(absl::StrContains(caller.Query("BEGIN"), "READY T"));
+  CHECK(absl::StrContains(caller.Query("WRITE k v1"), "READY T"));
+  m_world.daemons[0]->RequestStop();
+  CHECK(Within(absl::Seconds(2), [this]() { return m_world.Ready(0) == 503; }));
+  CHECK(absl::StrContains(caller.Query("COMMIT"), "COMPLETE commit"));
+  CHECK(Within(absl::Seconds(6), [this]() { return m_world.ended[0].load(); }));
+}
+
+}  // namespace
+}  // namespace heatherwick::platform
--- a/Tests/runtime/clock_step_test.cc
+++ b/Tests/runtime/clock_step_test.cc
@@ -24,16 +24,16 @@
 std::atomic<int64_t> g_step_seconds = 0;
 }  // namespace
 
-// The linker gives these names.
+// The linker gives these names to absl::Now().
 // NOLINTBEGIN(bugprone-reserved-identifier)
-extern "C" {
-absl::Time __real__ZN4absl7debian33NowEv();
-absl::Time __wrap__ZN4absl7debian33NowEv() {
-  return __real__ZN4absl7debian33NowEv() + absl::Seconds(g_step_seconds.load());
-}
-}
+absl::Time RealNow() __asm__("__real__ZN4absl7debian33NowEv");
+absl::Time SteppedNow() __asm__("__wrap__ZN4absl7debian33NowEv");
 // NOLINTEND(bugprone-reserved-identifier)
 
+absl::Time SteppedNow() {
+  return RealNow() + absl::Seconds(g_step_seconds.load());
+}
+
 namespace heatherwick {
 namespace {
 
