gateway: Keep a retired peer channel until its calls have ended

A call that timed out dropped the channel from the map, and the call then held it alone. Change: channels that went silent are kept for 10 s.

--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -21,6 +21,8 @@
 // within the lease.
 constexpr int kLowestBackOffMs = 50;
 constexpr int kHighestBackOffMs = 300;
+// Longer than every call's timeout.
+constexpr absl::Duration kRetirement = absl::Seconds(10);
 
 void FillRow(const StoredRow& row, proto::LeaderRow* leader) {
   leader->set_key(row.key);
@@ -148,6 +150,18 @@
   return channel;
 }
 
+void GrpcPeerTransport::Retire(const std::string& address) {
+  const absl::Time now = m_loop->Now();
+  while (!m_retired.empty() && now - m_retired.front().first > kRetirement) {
+    m_retired.pop_front();
+  }
+  const auto found = m_channels.find(address);
+  if (found != m_channels.end()) {
+    m_retired.emplace_back(now, std::move(found->second));
+    m_channels.erase(found);
+  }
+}
+
 template <typename Request, typename Reply, typename Method>
 void GrpcPeerTransport::Start(const std::string& address,
                               Method method,
@@ -178,7 +192,7 @@
           }
           if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
             // The connection may have gone silent; the next call opens one.
-            m_channels.erase(address);
+            Retire(address);
           }
           const bool refused =
               absl::StrContains(status.error_message(), "refused");
--- a/Source/gateway/grpc_peer_transport.h
+++ b/Source/gateway/grpc_peer_transport.h
@@ -3,10 +3,12 @@
 #ifndef SOURCE_GATEWAY_GRPC_PEER_TRANSPORT_H_
 #define SOURCE_GATEWAY_GRPC_PEER_TRANSPORT_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "Source/base/error.h"
 #include "Source/gateway/event_loop.h"
@@ -44,6 +46,8 @@
   class Service;
 
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& address);
+  // The next call to the address opens a new connection.
+  void Retire(const std::string& address);
   // Starts a call of the Leadership service; `done` runs on the loop.
   template <typename Request, typename Reply, typename Method>
   void Start(const std::string& address,
@@ -57,6 +61,9 @@
   std::unique_ptr<Service> m_service;
   std::unique_ptr<grpc::Server> m_server;
   std::map<std::string, std::shared_ptr<grpc::Channel>> m_channels;
+  // Channels that went silent, and when. They are destroyed long after their
+  // last call: gRPC 1.51 crashes when a call's end destroys its own channel.
+  std::deque<std::pair<absl::Time, std::shared_ptr<grpc::Channel>>> m_retired;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/runtime/clock_step_test.cc
+++ b/Tests/runtime/clock_step_test.cc
@@ -7,7 +7,9 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "Source/base/steady_clock.h"
 #include "Source/proto/platform.grpc.pb.h"
@@ -86,15 +88,20 @@
 
   void CheckCall(int64_t seconds) {
     SilentListener listener;
+    const std::shared_ptr<grpc::Channel> channel = grpc::CreateChannel(
+        listener.Address(), grpc::InsecureChannelCredentials());
+    // gRPC 1.51 crashes when the end of a call destroys its own channel, so
+    // that the channel outlives the call's last step.
+    static auto* const channels =
+        new std::vector<std::shared_ptr<grpc::Channel>>();
+    channels->push_back(channel);
     absl::Notification done;
     using Async = proto::Platform::Stub::async_interface;
     using Method = void (Async::*)(
         grpc::ClientContext*, const proto::ReadRowRequest*,
         proto::ReadRowReply*, std::function<void(grpc::Status)>);
     StartUnaryCall<proto::Platform, proto::ReadRowRequest, proto::ReadRowReply>(
-        grpc::CreateChannel(listener.Address(),
-                            grpc::InsecureChannelCredentials()),
-        static_cast<Method>(&Async::ReadRow), {}, SteadyNow() + kWait,
+        channel, static_cast<Method>(&Async::ReadRow), {}, SteadyNow() + kWait,
         [&done](const Result<proto::ReadRowReply>&) { done.Notify(); });
     StepDuringWait(seconds, &done);
   }
