--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -127,8 +127,10 @@
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_MemberInAChange_AnswersThatItDoesNotAgree") {
   CHECK(m_leases.Answer({"p1", 7, 0, {}, {}}, false, false).store_unreachable);
-  CHECK_FALSE(m_leases.Answer({"p1", 7, 0, {}, {}}, false, true).store_unreachable);
-  CHECK_FALSE(m_leases.Answer({"p1", 7, 0, {}, {}}, true, false).store_unreachable);
+  CHECK_FALSE(
+      m_leases.Answer({"p1", 7, 0, {}, {}}, false, true).store_unreachable);
+  CHECK_FALSE(
+      m_leases.Answer({"p1", 7, 0, {}, {}}, true, false).store_unreachable);
 }
 
 TEST_CASE_FIXTURE(PeerLeasesFixture,
