--- a/Tests/runtime/clock_step_test.cc
+++ b/Tests/runtime/clock_step_test.cc
@@ -69,8 +69,10 @@
  protected:
   ~ClockStepFixture() { g_step_seconds = 0; }
 
-  void StepDuringWait(int64_t seconds, absl::Notification* done) {
-    const absl::Time start = SteadyNow();
+  // The wait of kWait begins at or after `start`.
+  static void StepDuringWait(absl::Time start,
+                             int64_t seconds,
+                             absl::Notification* done) {
     absl::SleepFor(absl::Milliseconds(100));
     g_step_seconds = seconds;
     done->WaitForNotificationWithTimeout(absl::Seconds(10));
@@ -82,8 +84,9 @@
   void CheckTimer(int64_t seconds) {
     absl::Notification done;
     TimerQueue timers;
+    const absl::Time start = SteadyNow();
     timers.RunAt(SteadyNow() + kWait, [&done]() { done.Notify(); });
-    StepDuringWait(seconds, &done);
+    StepDuringWait(start, seconds, &done);
   }
 
   void CheckCall(int64_t seconds) {
@@ -96,6 +99,7 @@
         new std::vector<std::shared_ptr<grpc::Channel>>();
     channels->push_back(channel);
     absl::Notification done;
+    const absl::Time start = SteadyNow();
     using Async = proto::Platform::Stub::async_interface;
     using Method = void (Async::*)(
         grpc::ClientContext*, const proto::ReadRowRequest*,
@@ -103,7 +107,7 @@
     StartUnaryCall<proto::Platform, proto::ReadRowRequest, proto::ReadRowReply>(
         channel, static_cast<Method>(&Async::ReadRow), {}, SteadyNow() + kWait,
         [&done](const Result<proto::ReadRowReply>&) { done.Notify(); });
-    StepDuringWait(seconds, &done);
+    StepDuringWait(start, seconds, &done);
   }
 };
 
