--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -259,7 +259,7 @@
       m_request->route.statement_timeout, [this]() { OnTimeout(); });
   m_gateway->GetMetrics()->Count("statements/received");
   if (m_connection != nullptr) {
-    SyncValues();
+    SetUpSession();
     return;
   }
   m_gateway->Enqueue(this);
@@ -274,10 +274,10 @@
   m_required = at_primary ? std::nullopt : required;
   ++m_request->attempts;
   connection->on_lost = [this](const Error& error) { OnLost(error); };
-  SyncValues();
+  SetUpSession();
 }
 
-void CallerSession::SyncValues() {
+void CallerSession::SetUpSession() {
   TargetPool* const pool = m_connection->pool;
   std::vector<TargetCommand> setup;
   const bool surplus = std::any_of(
@@ -312,7 +312,7 @@
     }
   }
   if (setup.empty()) {
-    AfterSetup(0);
+    OnSetUp(0);
     return;
   }
   // The statement is sent once all of the setup has succeeded.
@@ -331,12 +331,12 @@
                                 ""});
                    return;
                  }
-                 AfterSetup(--*pending);
+                 OnSetUp(--*pending);
                });
   }
 }
 
-void CallerSession::AfterSetup(size_t pending) {
+void CallerSession::OnSetUp(size_t pending) {
   if (pending > 0) {
     return;
   }
@@ -487,7 +487,7 @@
     }
     if (reply.code == ReplyCode::kNoStatement &&
         reply.state == TransactionState::kOpen) {
-      SyncValues();
+      SetUpSession();
       return;
     }
     if (m_answered_any) {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -89,8 +89,8 @@
   void Begin(const Statement& statement);
   void Rollback();
   void Submit(Statement statement);
-  void SyncValues();
-  void AfterSetup(size_t pending);
+  void SetUpSession();
+  void OnSetUp(size_t pending);
   void SendBegin();
   void SendStatement();
   void OnReply(Reply reply);
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -37,7 +37,7 @@
 constexpr absl::Duration kRemotePenalty = absl::Milliseconds(4);
 // Reads prefer replicas: the primary counts as this much busier.
 constexpr double kPrimaryWeight = 1.5;
-// A target that lacked a position is asked for it again after this.
+// Bounds the memory for names when callers prepare ever new shapes.
 constexpr size_t kMaxPreparedNames = 10000;
 
 }  // namespace
@@ -241,8 +241,6 @@
   PostDispatch(pool->Target().group);
 }
 
-void Gateway::OnPosition(TargetPool*, Position) {}
-
 void Gateway::PostDispatch(const GroupName& name) {
   Group& group = m_groups[name];
   if (group.dispatch_posted) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -92,7 +92,6 @@
 
   // PoolObserver:
   void OnCapacity(TargetPool* pool) override;
-  void OnPosition(TargetPool* pool, Position position) override;
 
  private:
   struct Group {
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -52,7 +52,7 @@
 // A promotion takes about a second; longer means that the order was lost.
 constexpr absl::Duration kPromotionLimit = absl::Milliseconds(3000);
 constexpr absl::Duration kStopTimeout = absl::Milliseconds(500);
-// A primary whose entry has lapsed is replaced if it is silent as well.
+// An instance counts itself before its own row is read.
 constexpr size_t kMinMembers = 1;
 
 }  // namespace
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -44,7 +44,6 @@
 
   // A connection became free, or a failed opening changed what is possible.
   virtual void OnCapacity(TargetPool* pool) = 0;
-  virtual void OnPosition(TargetPool* pool, Position position) = 0;
 };
 
 class TargetPool {
