gateway: Open connections on demand where there are fewer than instances

Change: where the limit is below the number of members no connection is kept; one is opened for a statement and closed after 150 ms idle, and no status queries are sent for evidence. The first deployments are not touched: their limits are above their instances. The new test fails without the change.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -33,6 +33,8 @@
 constexpr size_t kShareDivisor = 2;
 // Connections beyond the share for a burst, given back when idle.
 constexpr size_t kBurstConnections = 1;
+// Of an instance to one target, where the limit is below one for each.
+constexpr size_t kOnDemandConnections = 2;
 // Expected extra latency of a target in another data centre.
 constexpr absl::Duration kRemotePenalty = absl::Milliseconds(4);
 // Reads prefer replicas: the primary counts as this much busier.
@@ -145,9 +147,17 @@
     const size_t limit = settings == m_configuration.groups.end()
                              ? 1
                              : settings->second.max_connections;
-    const size_t share = std::max<size_t>(1, limit / kShareDivisor / members);
+    const size_t share = limit / kShareDivisor / members;
+    // With too few connections for one each, all share them by opening one
+    // for a statement and closing it soon after.
+    group.on_demand = limit < members;
     for (auto& [id, pool] : group.pools) {
-      pool->SetLimits(share, share + kBurstConnections);
+      if (group.on_demand) {
+        pool->SetLimits(0, kOnDemandConnections);
+      } else {
+        pool->SetLimits(std::max<size_t>(1, share),
+                        std::max<size_t>(1, share) + kBurstConnections);
+      }
     }
   }
 }
@@ -303,7 +313,10 @@
       std::max(request.route.allowed_age - kAgeMargin, absl::ZeroDuration());
   const std::optional<Position> known =
       group->evidence.Covering(request.arrived - age);
-  if (now - group->evidence.NewestSent() > age - kRefreshAhead) {
+  // A status query would need a connection of its own; there, a read at the
+  // primary brings the evidence.
+  if (!group->on_demand &&
+      now - group->evidence.NewestSent() > age - kRefreshAhead) {
     RefreshEvidence(name, group);
   }
   if (!known) {
@@ -338,7 +351,8 @@
   if (ServeOn(pool, session, std::nullopt, true)) {
     return true;
   }
-  pool->EnsureOpening(std::min<size_t>(2, WaitingCount(*group) + 1));
+  pool->EnsureOpening(
+      group->on_demand ? 1 : std::min<size_t>(2, WaitingCount(*group) + 1));
   return false;
 }
 
@@ -453,7 +467,8 @@
     pool->CloseIdle();
     // Keeps one connection open, so that the first statement need not wait,
     // and notices a dead target.
-    if (pool->OpenCount() == 0 && !pool->Target().draining) {
+    if (pool->OpenCount() == 0 && !pool->Target().draining &&
+        !group->on_demand) {
       pool->EnsureOpening(1);
     }
   }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -99,6 +99,7 @@
     std::list<CallerSession*> waiting;  // By priority, then arrival.
     ReadEvidence evidence;
     uint64_t evidence_epoch = 0;
+    bool on_demand = false;  // No connection stays open without work.
     bool refreshing = false;
     absl::Time refreshed = absl::InfinitePast();
     bool dispatch_posted = false;
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -24,6 +24,9 @@
 constexpr absl::Duration kOpenTimeout = absl::Milliseconds(800);
 // Connections beyond the guaranteed ones are given back after this.
 constexpr absl::Duration kSurplusIdle = absl::Milliseconds(500);
+// The same where no connection is guaranteed: the next statement of a session
+// often follows within this time.
+constexpr absl::Duration kOnDemandIdle = absl::Milliseconds(150);
 // Weight of the newest latency in the moving average.
 constexpr double kLatencyWeight = 0.15;
 
@@ -84,8 +87,9 @@
   for (const auto& connection : m_connections) {
     opening += connection->open ? 0 : 1;
   }
-  const size_t limit =
-      now < m_refused_at + kRefusalPause ? m_guaranteed : m_ceiling;
+  const size_t limit = now < m_refused_at + kRefusalPause
+                           ? std::max<size_t>(1, m_guaranteed)
+                           : m_ceiling;
   while (opening < wanted && m_connections.size() < limit) {
     Open();
     ++opening;
@@ -277,7 +281,8 @@
     if (!connection->open && now - connection->since > kOpenTimeout) {
       unopened.push_back(connection.get());
     } else if (connection->open && !connection->busy && count > m_guaranteed &&
-               now - connection->since > kSurplusIdle) {
+               now - connection->since >
+                   (m_guaranteed > 0 ? kSurplusIdle : kOnDemandIdle)) {
       surplus.push_back(connection.get());
       --count;
     }
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -11,6 +11,7 @@
 #include "Source/gateway/gateway.h"
 #include "Tests/gateway/fake_row_store.h"
 #include "Tests/gateway/virtual_loop.h"
+#include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
 
 namespace heatherwick {
@@ -500,6 +501,29 @@
   CHECK(answered);
 }
 
+// 82 instances before 46 connections kept one each and refused a third of all
+// statements.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_FewerConnectionsThanInstances_KeepsNoneOpen") {
+  RowTransaction members{LeadershipManager::kTable, {}, {}, {}};
+  for (int count = 0; count < 40; ++count) {
+    members.writes.push_back(
+        {LeadershipView::MemberKey(absl::StrCat("other", count)),
+         LeadershipView::EncodeMember({1, "p", 0}), 0, false});
+  }
+  (void)m_table.Apply(members);
+  m_loop.RunFor(absl::Seconds(2));
+  const size_t closed = m_driver.closed.size();
+  CHECK(closed >= 3);
+  Open("orders");
+  Say(StatementKind::kRead, "READ k");
+  m_loop.RunFor(absl::Milliseconds(100));
+  Answer(ReplyCode::kComplete);
+  CHECK(Last().code == ReplyCode::kComplete);
+  m_loop.RunFor(absl::Seconds(1));
+  CHECK(m_driver.closed.size() == closed + 1);
+}
+
 TEST_CASE_FIXTURE(SessionFixture,
                   "Gateway_DrainBegins_ClosesIdleSessionsOnly") {
   Open("orders");
