--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -123,7 +123,7 @@
     return {ErrorKind::kUnavailable, "no answer", ""};
   }
 
-  void Run(absl::Duration timeout, std::function<void(bool)> call) {
+  void Run(absl::Duration timeout, const std::function<void(bool)>& call) {
     if (m_down) {
       m_loop->Add(timeout, [call]() { call(false); });
     } else {
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -50,7 +50,9 @@
 
   class Node : public GroupAccess, public PeerTransport {
    public:
-    Node(LeadershipCluster* cluster, std::string name, uint64_t incarnation)
+    Node(LeadershipCluster* cluster,
+         const std::string& name,
+         uint64_t incarnation)
         : m_cluster(cluster),
           store(&cluster->m_loop, &cluster->m_table),
           m_manager(std::make_unique<LeadershipManager>(
