gateway: Remove state and functions without a reader

Cause: read-through of the whole change: each answer of a target updated a position that nothing reads, and Gateway::BusySessions had no caller. Change: both are removed; behaviour stays. Measured: gateway_test 72 and platform_test 22 cases pass; the formatter is clean.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -173,11 +173,6 @@
   m_sessions.erase(session);
 }
 
-size_t Gateway::BusySessions() const {
-  return std::count_if(m_sessions.begin(), m_sessions.end(),
-                       [](const auto* session) { return !session->Idle(); });
-}
-
 void Gateway::BeginDrain() {
   m_draining = true;
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -54,7 +54,6 @@
   // Ends open transactions.
   void EndTransactions(const std::string& cause);
   size_t Sessions() const { return m_sessions.size(); }
-  size_t BusySessions() const;
 
   // For sessions.
   void AddSession(CallerSession* session);
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -123,9 +123,6 @@
     m_failures = 0;
     connection->open = true;
     connection->since = now;
-    if (ValueOf(opened).term > 0) {
-      m_shown = std::max(m_shown, ValueOf(opened));
-    }
   } else {
     const Error& error = ErrorOf(opened);
     if (error.kind == ErrorKind::kOverloaded) {
@@ -212,9 +209,6 @@
           m_latency =
               (1 - kLatencyWeight) * m_latency + kLatencyWeight * (now - sent);
         }
-        if (reply.position) {
-          m_shown = std::max(m_shown, *reply.position);
-        }
         on_reply(std::move(reply));
       });
 }
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -89,7 +89,6 @@
   // True while openings fail.
   bool Failing() const { return m_failures > 0; }
   absl::Duration Latency() const { return m_latency; }
-  Position ShownPosition() const { return m_shown; }
   void NoteLagging(Position lacking, absl::Time until);
   // False while the target is known to lack `required`.
   bool MayHold(Position required, absl::Time now) const;
@@ -112,7 +111,6 @@
   absl::Time m_refused_at = absl::InfinitePast();
   int m_failures = 0;
   absl::Duration m_latency;
-  Position m_shown;
   Position m_lacking;
   absl::Time m_lacking_until = absl::InfinitePast();
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
