gateway: Close holes in leases and choose no deposed primary

A model of the leases (lease.pml, in work) showed further ways to acknowledge for a replaced primary: a member that joined after the holder's last reading was not waited for; after a gap in its lease a member took a peer without a process as agreeing, although it may have promoted before it ended; old members that none of them knows to be incomplete extended their leases by unanimity beside a new member that reads the store; a second holder's change renewed the use that the first one had ended.

Late transactions, confirmations of an earlier incarnation and two holders of one token: the model finds no violation there.

The leader row names the term. Silence of a primary counts from when the instance could use it. A change counts as confirmed once the view includes its announcement. A member without a process agrees only while the lease holds without a gap. Unanimity ends 10 minutes after the last reading; a holder that silent members may not know waits for this as well, which `joined` in the member rows and their renewal keep rare. The wait for silent leases counts from the first sight of the change, so a second holder does not start it anew.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -52,6 +52,12 @@
 // A promotion takes about a second; longer means that the order was lost.
 constexpr absl::Duration kPromotionLimit = absl::Milliseconds(3000);
 constexpr absl::Duration kStopTimeout = absl::Milliseconds(500);
+// A member row that is newer than those of this many others shows whom its
+// instance knows; more would cost a write of each member for each new one.
+constexpr size_t kShownAcquaintances = 16;
+// A member renews its row this long after it saw others join, so that one
+// write covers all that start together.
+constexpr absl::Duration kRenewalDelay = absl::Milliseconds(500);
 // An instance counts itself before its own row is read.
 constexpr size_t kMinMembers = 1;
 
@@ -75,7 +81,10 @@
   std::map<TargetId, TargetStatus> statuses;
   std::set<TargetId> rejected;  // Not running, by the platform's word.
   std::map<InstanceId, uint64_t> expired_members;  // Id and row version.
+  // Since when a member that the silent one knows has confirmed.
+  std::map<InstanceId, absl::Time> witnessed;
   TargetId candidate;
+  uint64_t candidate_term = 0;  // Once it is known to lead.
   absl::Time promoted_at;
   std::unique_ptr<Timer> timer;
 };
@@ -130,7 +139,6 @@
 }
 
 void LeadershipManager::Start() {
-  Register();
   Poll();
   Tick();
 }
@@ -169,16 +177,23 @@
     return;
   }
   m_registering = true;
-  RowTransaction transaction{kTable, {}, {}, {}};
-  transaction.writes = {
-      {LeadershipView::MemberKey(m_settings.self),
-       LeadershipView::EncodeMember(
-           {m_settings.incarnation, m_settings.peer_address, 0}),
-       0, false},
-      {LeadershipView::ConfirmationKey(m_settings.self),
-       LeadershipView::EncodeConfirmation(m_settings.incarnation,
-                                          m_confirmed_epochs),
-       0, false}};
+  const std::string key = LeadershipView::MemberKey(m_settings.self);
+  const auto earlier = m_view.Members().find(m_settings.self);
+  MemberRow row{m_settings.incarnation, m_settings.peer_address, 0, 0};
+  uint64_t earlier_version = 0;
+  if (earlier != m_view.Members().end()) {
+    earlier_version = earlier->second.row_version;
+    if (earlier->second.peer_address == m_settings.peer_address) {
+      row.joined = earlier->second.joined;
+    }
+  }
+  RowTransaction transaction{
+      kTable, {{key, "", earlier_version, false}}, {}, {}};
+  transaction.writes = {{key, LeadershipView::EncodeMember(row), 0, false},
+                        {LeadershipView::ConfirmationKey(m_settings.self),
+                         LeadershipView::EncodeConfirmation(
+                             m_settings.incarnation, m_confirmed_epochs),
+                         0, false}};
   m_store->Commit(
       transaction, kCallTimeout,
       [this, alive = m_alive](const Result<uint64_t>& result) {
@@ -191,6 +206,15 @@
       });
 }
 
+bool LeadershipManager::OwnRowIsOld() const {
+  const uint64_t own = m_view.Members().at(m_settings.self).row_version;
+  size_t shown = 0;
+  for (const auto& [id, member] : m_view.Members()) {
+    shown += member.joined < own && id != m_settings.self ? 1 : 0;
+  }
+  return shown < std::min(m_view.Members().size() - 1, kShownAcquaintances);
+}
+
 void LeadershipManager::SchedulePoll(absl::Duration delay) {
   m_poll_timer = m_loop->RunAfter(delay, [this]() { Poll(); });
 }
@@ -235,6 +259,11 @@
   ApplyRows(ValueOf(polled));
   if (!m_view.OwnRowPresent()) {
     Register();
+  } else if (!m_renewal_timer && OwnRowIsOld()) {
+    m_renewal_timer = m_loop->RunAfter(kRenewalDelay, [this]() {
+      m_renewal_timer.reset();
+      Register();
+    });
   }
   ContinueChanges();
   SchedulePoll(absl::ZeroDuration());
@@ -296,7 +325,7 @@
   return leader.phase == LeaderPhase::kOpen ||
          (m_loop->Now() < leader.usable_until &&
           (confirmed == m_confirmed_epochs.end() ||
-           confirmed->second < leader.epoch));
+           confirmed->second < leader.change_epoch));
 }
 
 void LeadershipManager::OnLeaderRow(const GroupName& group) {
@@ -396,6 +425,7 @@
   m_tick_timer = m_loop->RunAfter(kTickPeriod, [this]() { Tick(); });
   m_peer_leases.Tick();
   if (!m_view.LeaseValid(m_loop->Now())) {
+    m_without_lease = m_loop->Now();
     return;
   }
   for (const GroupName& group : m_groups->Groups()) {
@@ -447,10 +477,26 @@
     return;
   }
   state.unknown_since = now;  // The next try comes after another stagger.
+  const TargetId primary = claiming.front();
+  m_groups->QueryStatus(
+      group, primary, kProbeTimeout,
+      [this, group, primary,
+       alive = m_alive](const std::optional<TargetStatus>& status) {
+        if (*alive) {
+          PublishFirstLeader(group, primary,
+                             status && status->primary ? status->term : 0);
+        }
+      });
+}
+
+void LeadershipManager::PublishFirstLeader(const GroupName& group,
+                                           const TargetId& primary,
+                                           uint64_t term) {
   GroupLeader first;
   first.epoch = 1;
   first.phase = LeaderPhase::kOpen;
-  first.primary = claiming.front();
+  first.primary = primary;
+  first.term = term;
   first.holder = m_settings.self;
   first.holder_incarnation = m_settings.incarnation;
   const std::string key = LeadershipView::LeaderKey(group);
@@ -513,7 +559,11 @@
   state.unknown_since = absl::InfiniteFuture();
   AnswerVotes(group);
   const absl::Time contact = m_groups->LastContact(group, leader.primary);
-  const bool silent = (state.silent || !listed) && now - contact > kSilence;
+  // An instance that could not use the primary before gives it time to answer.
+  const absl::Time unanswered_since =
+      std::max({contact, leader.seen, m_without_lease});
+  const bool silent =
+      (state.silent || !listed) && now - unanswered_since > kSilence;
   if (!silent) {
     if (now - contact <= kSilence) {
       state.silent = false;
@@ -794,11 +844,17 @@
     return;
   }
   const absl::Time now = m_loop->Now();
-  const absl::Time expiry =
-      promotion->published_after + kLeaderLease + kLeaseMargin;
   const std::vector<InstanceId> missing =
       m_view.Unconfirmed(group, promotion->epoch);
-  if (!missing.empty() && now < expiry) {
+  // A member that joined before the announcement may not be in the view yet.
+  const bool all_confirmed =
+      missing.empty() && m_view.Version() >= promotion->row_version;
+  absl::Time expiry = m_view.Leader(group).change_seen;
+  for (const InstanceId& id : missing) {
+    expiry = std::max(expiry, EndOfSilentUse(group, promotion, id, missing));
+  }
+  expiry += kLeaderLease + kLeaseMargin;
+  if (!all_confirmed && now < expiry) {
     After(group, attempt, expiry - now, &LeadershipManager::AwaitConfirmations);
     return;
   }
@@ -816,6 +872,31 @@
   CollectStatuses(group, attempt);
 }
 
+absl::Time LeadershipManager::EndOfSilentUse(
+    const GroupName& group,
+    Promotion* promotion,
+    const InstanceId& silent,
+    const std::vector<InstanceId>& missing) const {
+  // Without the store, a silent member extends its lease by the word of all
+  // members that it knows. It knows those whose rows stood in the table before
+  // its own; from its confirmation on, one of them no longer agrees.
+  const uint64_t since = m_view.Members().at(silent).row_version;
+  const absl::Time change_seen = m_view.Leader(group).change_seen;
+  const auto own = m_view.Members().find(m_settings.self);
+  if (silent == m_settings.self ||
+      (own != m_view.Members().end() && own->second.joined < since)) {
+    return change_seen;
+  }
+  for (const auto& [id, member] : m_view.Members()) {
+    const bool confirmed =
+        std::find(missing.begin(), missing.end(), id) == missing.end();
+    if (confirmed && id != m_settings.self && member.joined < since) {
+      return promotion->witnessed.emplace(silent, m_loop->Now()).first->second;
+    }
+  }
+  return change_seen + kUnanimityLimit;
+}
+
 void LeadershipManager::CollectStatuses(const GroupName& group,
                                         uint64_t attempt) {
   Promotion* const promotion = Current(group, attempt);
@@ -875,11 +956,15 @@
       best_position = status.received;
     }
   }
-  // An earlier holder's promotion may have taken effect.
+  // An earlier holder's promotion may have taken effect. A deposed primary
+  // still claims to lead in an older term.
+  const uint64_t replaced_term = m_view.Leader(group).term;
   for (const auto& [id, status] : promotion->statuses) {
     if (status.primary && status.term >= highest_term &&
+        status.term > replaced_term &&
         (!promotion->old_status || promotion->old_status->term < status.term)) {
       promotion->candidate = id;
+      promotion->candidate_term = status.term;
       PublishLeader(group, attempt);
       return;
     }
@@ -891,6 +976,7 @@
     LOG(INFO) << "event=primary_kept group=" << group
               << " primary=" << promotion->old_primary;
     promotion->candidate = promotion->old_primary;
+    promotion->candidate_term = promotion->old_status->term;
     PublishLeader(group, attempt);
     return;
   }
@@ -957,10 +1043,12 @@
       group, promotion->candidate, kStatusTimeout,
       [this, group, attempt,
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive || Current(group, attempt) == nullptr) {
+        Promotion* const awaited = *alive ? Current(group, attempt) : nullptr;
+        if (awaited == nullptr) {
           return;
         }
         if (status && status->primary) {
+          awaited->candidate_term = status->term;
           PublishLeader(group, attempt);
           return;
         }
@@ -979,6 +1067,7 @@
   next.epoch = promotion->epoch + 1;
   next.phase = LeaderPhase::kOpen;
   next.primary = promotion->candidate;
+  next.term = promotion->candidate_term;
   next.holder = m_settings.self;
   next.holder_incarnation = m_settings.incarnation;
   next.planned = promotion->planned;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -97,12 +97,19 @@
   void OnPolled(Result<RowChanges> polled);
   void ApplyRows(const RowChanges& changes);
   void SchedulePoll(absl::Duration delay);
+  // Writes the own member row.
   void Register();
+  // True when the own row is older than those of members that this instance
+  // knows by now, so that others cannot tell that it knows them.
+  bool OwnRowIsOld() const;
   void Tick();
   void TickGroup(const GroupName& group);
   void ConsiderOpenLeader(const GroupName& group, const GroupLeader& leader);
   void ConsiderStuckChange(const GroupName& group, const GroupLeader& leader);
   void ProposeFirstLeader(const GroupName& group);
+  void PublishFirstLeader(const GroupName& group,
+                          const TargetId& primary,
+                          uint64_t term);
   void AnswerVotes(const GroupName& group);
   void CastVote(const GroupName& group, bool dead, uint64_t round);
   void DecideVotes(const GroupName& group);
@@ -121,6 +128,11 @@
   // Tells the members of a change that was just published, ahead of the feed.
   void Announce(const StoredRow& row);
   void AwaitConfirmations(const GroupName& group, uint64_t attempt);
+  // From when on a silent member no longer renews its lease on the primary.
+  absl::Time EndOfSilentUse(const GroupName& group,
+                            Promotion* promotion,
+                            const InstanceId& silent,
+                            const std::vector<InstanceId>& missing) const;
   void CollectStatuses(const GroupName& group, uint64_t attempt);
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
   void SendPromotion(const GroupName& group, uint64_t attempt);
@@ -150,6 +162,7 @@
   std::map<GroupName, uint64_t> m_confirmed_epochs;
   std::unique_ptr<Timer> m_poll_timer;
   std::unique_ptr<Timer> m_tick_timer;
+  std::unique_ptr<Timer> m_renewal_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::function<void()> m_on_stopped;
   bool m_table_read = false;
@@ -158,6 +171,8 @@
   bool m_confirming = false;
   bool m_confirm_again = false;
   bool m_stopping = false;
+  // The lease was last seen invalid then.
+  absl::Time m_without_lease = absl::InfinitePast();
   uint64_t m_attempts = 0;
   // Newest fencing token of this run, and when it was asked for.
   uint64_t m_token = 0;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -45,7 +45,10 @@
                    << " cause=\"" << error.what() << "\"";
     }
   }
-  m_version = std::max(m_version, changes.version);
+  if (changes.version > 0) {
+    m_version = std::max(m_version, changes.version);
+    m_last_reading = std::max(m_last_reading, changes.as_of);
+  }
   m_as_of = std::max(m_as_of, changes.as_of);
   return changed;
 }
@@ -59,9 +62,13 @@
     if (row.deleted) {
       m_members.erase(std::string(key));
     } else {
-      m_members[std::string(key)] = {value.at("incarnation").get<uint64_t>(),
-                                     value.at("peer").get<std::string>(),
-                                     row.version};
+      MemberRow member;
+      member.incarnation = value.at("incarnation").get<uint64_t>();
+      member.peer_address = value.at("peer").get<std::string>();
+      member.row_version = row.version;
+      const uint64_t joined = value.at("joined").get<uint64_t>();
+      member.joined = joined > 0 ? joined : row.version;
+      m_members[std::string(key)] = std::move(member);
     }
   } else if (absl::ConsumePrefix(&key, kConfirmationPrefix)) {
     if (!row.deleted) {
@@ -86,12 +93,18 @@
     next.phase = value.at("open").get<bool>() ? LeaderPhase::kOpen
                                               : LeaderPhase::kChanging;
     next.primary = value.at("primary").get<std::string>();
+    next.term = value.at("term").get<uint64_t>();
     next.holder = value.at("holder").get<std::string>();
     next.holder_incarnation = value.at("incarnation").get<uint64_t>();
     next.planned = value.at("planned").get<bool>();
     next.row_version = row.version;
     next.seen = now;
-    next.usable_until = m_as_of + kLeaderLease;
+    if (next.phase == LeaderPhase::kChanging) {
+      const bool again = leader.phase == LeaderPhase::kChanging;
+      next.change_epoch = again ? leader.change_epoch : next.epoch;
+      next.change_seen = again ? leader.change_seen : now;
+      next.usable_until = again ? leader.usable_until : m_as_of + kLeaderLease;
+    }
     leader = next;
     m_leader_rows[row.key] = row;
     m_leaders_version = std::max(m_leaders_version, row.version);
@@ -193,17 +206,17 @@
 
 std::string LeadershipView::EncodeMember(const MemberRow& member) {
   return json{{"incarnation", member.incarnation},
-              {"peer", member.peer_address}}
+              {"peer", member.peer_address},
+              {"joined", member.joined}}
       .dump();
 }
 
 std::string LeadershipView::EncodeLeader(const GroupLeader& leader) {
-  return json{{"epoch", leader.epoch},
-              {"open", leader.phase == LeaderPhase::kOpen},
-              {"primary", leader.primary},
-              {"holder", leader.holder},
-              {"incarnation", leader.holder_incarnation},
-              {"planned", leader.planned}}
+  return json{
+      {"epoch", leader.epoch},     {"open", leader.phase == LeaderPhase::kOpen},
+      {"primary", leader.primary}, {"term", leader.term},
+      {"holder", leader.holder},   {"incarnation", leader.holder_incarnation},
+      {"planned", leader.planned}}
       .dump();
 }
 
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -26,18 +26,28 @@
 // polls that fail in a row fit in (see kLeadershipPollWait).
 inline constexpr absl::Duration kLeaderLease = absl::Milliseconds(2000);
 
+// How long after its last reading of the store an instance may extend its
+// lease by the word of its peers. Users report outages of minutes; a holder
+// that silent members may not know of waits for this time as well.
+inline constexpr absl::Duration kUnanimityLimit = absl::Minutes(10);
+
 enum class LeaderPhase { kUnknown, kOpen, kChanging };
 
 struct GroupLeader {
   LeaderPhase phase = LeaderPhase::kUnknown;
   uint64_t epoch = 0;  // Grows with every change of this row.
   TargetId primary;    // kOpen: in use. kChanging: the one being replaced.
+  uint64_t term = 0;   // In which `primary` leads; 0: not known.
   InstanceId holder;   // Instance that carries out the change.
   uint64_t holder_incarnation = 0;
   bool planned = false;  // The old primary still answers.
   uint64_t row_version = 0;
   absl::Time seen;  // When this version of the row was read.
-  // kChanging: the lease that held before the change was read ends then.
+  // kChanging: epoch of the first change since the row was open, when it was
+  // read, and when the lease ends that held before. Every reading after
+  // `change_seen` shows the change.
+  uint64_t change_epoch = 0;
+  absl::Time change_seen;
   absl::Time usable_until = absl::InfinitePast();
 };
 
@@ -45,6 +55,9 @@
   uint64_t incarnation = 0;
   std::string peer_address;
   uint64_t row_version = 0;
+  // Version since which a row of this instance and address has stood in the
+  // table without a gap.
+  uint64_t joined = 0;
 };
 
 struct DutyRow {
@@ -71,6 +84,8 @@
   bool OwnRowPresent() const;
   bool LeaseValid(absl::Time now) const;
   absl::Time AsOf() const { return m_as_of; }
+  // Time of the newest reading that did not come from a peer's word.
+  absl::Time LastReading() const { return m_last_reading; }
   // A member has confirmed these epochs to this instance directly.
   void NoteConfirmation(const InstanceId& id,
                         uint64_t incarnation,
@@ -96,6 +111,7 @@
   static std::string ConfirmationKey(const InstanceId& id);
   static std::string VoteKey(const GroupName& group, const InstanceId& id);
   static std::string DutyKey();
+  // `joined` 0 stands for the version that the row will get.
   static std::string EncodeMember(const MemberRow& member);
   static std::string EncodeLeader(const GroupLeader& leader);
   static std::string EncodeDuty(const DutyRow& duty);
@@ -119,6 +135,7 @@
   uint64_t m_version = 0;
   uint64_t m_leaders_version = 0;
   absl::Time m_as_of = absl::InfinitePast();
+  absl::Time m_last_reading = absl::InfinitePast();
   std::map<GroupName, GroupLeader> m_leaders;
   std::map<std::string, StoredRow> m_leader_rows;  // As they are stored.
   std::map<InstanceId, MemberRow> m_members;
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -82,7 +82,8 @@
                           Result<VouchAnswer> answer) {
   bool agrees = false;
   if (!Ok(answer)) {
-    agrees = ErrorOf(answer).kind == ErrorKind::kNotFound;
+    agrees = ErrorOf(answer).kind == ErrorKind::kNotFound &&
+             m_view->LeaseValid(m_loop->Now());
   } else {
     VouchAnswer& vouch = ValueOf(answer);
     const absl::Time as_of = round->started - vouch.reading_age;
@@ -100,7 +101,8 @@
   }
   round->agreeing += agrees ? 1 : 0;
   if (round->agreeing == round->members && round->members > 0 &&
-      round->started > m_view->AsOf()) {
+      round->started > m_view->AsOf() &&
+      round->started < m_view->LastReading() + kUnanimityLimit) {
     LOG_EVERY_N(INFO, 10) << "event=lease_by_unanimity members="
                           << round->members;
     m_view->ExtendLease(round->started);
--- a/Source/gateway/peer_leases.h
+++ b/Source/gateway/peer_leases.h
@@ -4,8 +4,10 @@
 // A peer's reading is as good as an own one of the same age. When no member
 // can read the store, none can publish a change, so the unanimous word of all
 // members that they cannot read it, and are in no change, extends the lease
-// as well. A member that runs no process counts as agreeing: it would have to
-// read the store before it could take part.
+// as well, for kUnanimityLimit after the last reading. A member that runs no
+// process counts as agreeing while the lease holds: it would have to read the
+// store before it could take part. After a gap it does not, since it may have
+// completed a change in it.
 
 #ifndef SOURCE_GATEWAY_PEER_LEASES_H_
 #define SOURCE_GATEWAY_PEER_LEASES_H_
--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -66,6 +66,8 @@
   // The next transaction is applied and its answer lost; it is applied only
   // after `late`.
   void LoseNextAnswer(absl::Duration late) { m_lose_after = late; }
+  // Answers to polls arrive this much later.
+  void SetPollDelay(absl::Duration delay) { m_poll_delay = delay; }
   // Polls no longer reach back.
   void ForgetHistory() { m_history_lost = true; }
 
@@ -142,7 +144,7 @@
       m_loop->Add(limit - m_loop->Now() + absl::Milliseconds(400),
                   [done]() { done(Unreachable()); });
     } else if (!changes.rows.empty() || m_loop->Now() >= limit) {
-      done(changes);
+      m_loop->Add(m_poll_delay, [changes, done]() { done(changes); });
     } else {
       m_loop->Add(absl::Milliseconds(5), [this, after, limit, done]() {
         AnswerPoll(after, limit, done);
@@ -152,6 +154,7 @@
 
   VirtualLoop* const m_loop;
   FakeTable* const m_table;
+  absl::Duration m_poll_delay;
   bool m_down = false;
   bool m_history_lost = false;
   std::optional<absl::Duration> m_lose_after;
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -62,6 +62,7 @@
               cluster,
               this,
               this)) {
+      store.SetPollDelay(cluster->poll_delay);
       m_manager->Start();
     }
 
@@ -127,7 +128,7 @@
       Node* const peer = m_cluster->Find(address);
       if (peer == nullptr) {
         done(Error{ErrorKind::kNotFound, "refused", ""});
-      } else if (isolated || peer->isolated) {
+      } else if (isolated || peer->isolated || partition != peer->partition) {
         m_cluster->m_loop.Add(timeout, [done]() {
           done(Error{ErrorKind::kUnavailable, "no answer", ""});
         });
@@ -166,6 +167,7 @@
     FakeRowStore store;
     std::set<TargetId> unreachable;
     bool isolated = false;      // From its peers.
+    int partition = 0;          // Peers hear each other within one.
     bool hold_quiesce = false;  // Its statements at the primary never end.
 
    private:
@@ -256,6 +258,7 @@
   FakeTable m_table;
   std::map<TargetId, FakeDatabase> m_databases;
   std::vector<TargetId> promoted;
+  absl::Duration poll_delay;  // Of instances that are added later.
 
  private:
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -198,6 +198,126 @@
   CHECK(m_cluster->AllUse("g0", "g0-db0"));
 }
 
+// Hunted days showed a deposed primary in use again: the present one did not
+// answer the holder, and the other still claimed to lead in its old term.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_DeposedPrimaryClaimsToLead_IsNotChosen") {
+  Start(3);
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(4));
+  REQUIRE(m_cluster->AllUse("g0", "g0-db1"));
+  m_cluster->m_databases["g0-db0"].alive = true;
+  m_cluster->m_databases["g0-db1"].alive = false;
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1", "g0-db0"});
+}
+
+// The same days: an instance that was cut off voted against the primary
+// before it could open a connection, and a tie of two votes replaced it.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_MemberBack_GivesThePrimaryTimeToAnswer") {
+  Start(2);
+  LeadershipCluster::Node& back = m_cluster->At(1);
+  back.store.SetDown(true);
+  back.isolated = true;
+  back.unreachable.insert("g0-db0");
+  m_cluster->RunFor(absl::Seconds(5));
+  back.store.SetDown(false);
+  back.isolated = false;
+  while (!back.Manager().LeaseValid()) {
+    m_cluster->RunFor(absl::Milliseconds(50));
+  }
+  m_cluster->RunFor(absl::Milliseconds(600));
+  back.unreachable.clear();
+  m_cluster->RunFor(absl::Seconds(4));
+  CHECK(m_cluster->promoted.empty());
+}
+
+// lease.pml, NO_VIEW_OF_PUBLICATION: a member that joined after the holder's
+// last reading is not asked, and its lease still holds at the promotion.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_MemberJoinsUnseen_LosesLeaseFirst") {
+  Start(2);
+  m_cluster->poll_delay = absl::Milliseconds(700);
+  for (size_t index = 0; index < 2; ++index) {
+    m_cluster->At(index).store.SetPollDelay(m_cluster->poll_delay);
+  }
+  m_cluster->m_databases["g0-db1"].status.received = {1, 10};
+  m_cluster->RunFor(absl::Seconds(2));
+  m_cluster->AddNode("i2");
+  while (!m_cluster->At(2).Manager().LeaseValid()) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+  }
+  m_cluster->m_databases["g0-db0"].draining = true;
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted.size() == 1);
+}
+
+// lease.pml, NO_KNOWN_WITNESS: old members that cannot read the store extend
+// their leases by unanimity, which does not include a new one.
+TEST_CASE_FIXTURE(
+    ClusterFixture,
+    "LeadershipManager_NewMemberAloneAtTheStore_WaitsForTheOthersLimit") {
+  Start(2);
+  for (size_t index = 0; index < 2; ++index) {
+    m_cluster->At(index).store.SetDown(true);
+  }
+  m_cluster->RunFor(absl::Seconds(1));
+  m_cluster->AddNode("i2");
+  m_cluster->At(2).partition = 1;
+  m_cluster->At(2).unreachable.insert("g0-db0");
+  m_cluster->RunFor(absl::Seconds(30));
+  CHECK(m_cluster->promoted.empty());
+  CHECK(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db0");
+  m_cluster->RunFor(kUnanimityLimit);
+  CHECK(m_cluster->promoted.size() == 1);
+  CHECK_FALSE(m_cluster->At(0).Manager().UsablePrimary("g0").has_value());
+}
+
+// A standard day lost a machine whose row was older than all the others'.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_AnyMemberSilent_WaitsOneLease") {
+  for (const std::string silent : {"i0", "i1", "i2", "i3"}) {
+    CAPTURE(silent);
+    Start(4);
+    m_cluster->Kill(silent);
+    m_cluster->m_databases["g0-db0"].alive = false;
+    m_cluster->RunFor(absl::Seconds(5));
+    CHECK(m_cluster->promoted.size() == 1);
+  }
+}
+
+// Only one member is left, and the others' rows still stand.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_AllButOneSilent_WaitsOneLease") {
+  for (const std::string left : {"i0", "i1", "i2", "i3"}) {
+    CAPTURE(left);
+    Start(4);
+    for (const std::string silent : {"i0", "i1", "i2", "i3"}) {
+      if (silent != left) {
+        m_cluster->Kill(silent);
+      }
+    }
+    m_cluster->m_databases["g0-db0"].alive = false;
+    m_cluster->RunFor(absl::Seconds(6));
+    CHECK(m_cluster->promoted.size() == 1);
+  }
+}
+
+// An instance that runs again at its address is known to the others.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_RestartedAtItsAddress_WaitsOneLease") {
+  Start(2);
+  m_cluster->Kill("i0");
+  m_cluster->At(1).store.SetDown(true);
+  m_cluster->At(1).partition = 1;
+  m_cluster->RunFor(absl::Milliseconds(500));
+  m_cluster->AddNode("i0");
+  m_cluster->At(0).unreachable.insert("g0-db0");
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.size() == 1);
+}
+
 // A member whose row was removed registers again before it uses a primary.
 TEST_CASE_FIXTURE(ClusterFixture,
                   "LeadershipManager_OwnRowRemoved_RegistersAgain") {
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -70,6 +70,20 @@
   CHECK(m_view.Leader("g").epoch == 3);
 }
 
+// A second holder's change must not renew the use of a primary from which the
+// first one may have promoted away.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_ChangeTakenOver_KeepsTheFirstEndOfUse") {
+  m_view.Apply(Rows({OwnRow(7), LeaderRow(1, LeaderPhase::kOpen, 4)}), m_now);
+  const absl::Time before = m_now;
+  m_now += absl::Seconds(1);
+  m_view.Apply(Rows({LeaderRow(2, LeaderPhase::kChanging, 8)}), m_now);
+  m_now += absl::Milliseconds(500);
+  m_view.Apply(Rows({LeaderRow(3, LeaderPhase::kChanging, 9)}), m_now);
+  CHECK(m_view.Leader("g").usable_until == before + kLeaderLease);
+  CHECK(m_view.Leader("g").change_epoch == 2);
+}
+
 TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_ChangeRead_EndsOldLeaseInTime") {
   m_view.Apply(Rows({OwnRow(7)}), m_now);
   const absl::Time before = m_now;
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -123,6 +123,28 @@
   CHECK(ValidIn(absl::Milliseconds(1900)));
 }
 
+// lease.pml, NO_CONTINUOUS_LEASE: the member may have promoted another primary
+// after this instance's lease had run out, and ended then.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_MemberNotRunningAfterGap_DoesNotExtend") {
+  m_loop.RunFor(absl::Seconds(2));
+  Ask(StoreAway(), NotRunning());
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+}
+
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_StoreAwayBeyondTheLimit_EndsExtensions") {
+  const absl::Time began = m_loop.Now();
+  while (m_loop.Now() < began + kUnanimityLimit) {
+    Ask(StoreAway(), StoreAway());
+  }
+  CHECK(m_view.LeaseValid(began + kUnanimityLimit));
+  Ask(StoreAway(), StoreAway());
+  Ask(StoreAway(), StoreAway());
+  Ask(StoreAway(), StoreAway());
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+}
+
 // A member that carries out a change orders a promotion without the store.
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_MemberInAChange_AnswersThatItDoesNotAgree") {
