base: Write log lines from a thread of their own, metrics as text

Metrics were JSON, which monitoring does not scrape.

Metrics has gauges and the text format with cumulative buckets; JSON stays for the operators' client.

--- a/Source/base/metrics.cc
+++ b/Source/base/metrics.cc
@@ -8,6 +8,10 @@
 #include <functional>
 #include <tuple>
 
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+#include "absl/strings/str_split.h"
 #include "nlohmann/json.hpp"
 
 namespace heatherwick {
@@ -17,6 +21,39 @@
 constexpr double kLowestSeconds = 1e-5;
 constexpr double kHighestSeconds = 100.0;
 constexpr unsigned kBins = 280;  // 40 for each factor of ten: 5.9% steps.
+// A bin belongs to a limit that lies within half of its width.
+constexpr double kBinTolerance = 1.03;
+// Bucket limits of the text format, in milliseconds: from a local answer to
+// the longest deadline in use.
+constexpr double kBucketsMs[] = {1,   2,   5,    10,   20,   50,   100,
+                                 200, 500, 1000, 2000, 5000, 10000};
+
+// "statements/in_doubt" to heatherwick_statements and {kind="in_doubt"}.
+std::pair<std::string, std::string> TextName(absl::string_view name) {
+  const std::pair<absl::string_view, absl::string_view> parts =
+      absl::StrSplit(name, absl::MaxSplits('/', 1));
+  std::string family = absl::StrCat(
+      "heatherwick_", absl::StrReplaceAll(parts.first, {{"-", "_"}}));
+  return {std::move(family),
+          parts.second.empty()
+              ? ""
+              : absl::StrCat("kind=\"", absl::CEscape(parts.second), "\"")};
+}
+
+std::string Labels(absl::string_view labels) {
+  return labels.empty() ? "" : absl::StrCat("{", labels, "}");
+}
+
+// The type line that precedes the samples of each family.
+void StartFamily(const std::string& family,
+                 const char* type,
+                 std::string* last,
+                 std::string* text) {
+  if (family != *last) {
+    absl::StrAppend(text, "# TYPE ", family, " ", type, "\n");
+    *last = family;
+  }
+}
 
 }  // namespace
 
@@ -27,11 +64,24 @@
 void LatencyHistogram::Add(absl::Duration latency) {
   m_histogram(std::max(absl::ToDoubleSeconds(latency), kLowestSeconds));
   ++m_count;
+  m_sum += latency;
 }
 
 void LatencyHistogram::Merge(const LatencyHistogram& other) {
   m_histogram += other.m_histogram;
   m_count += other.m_count;
+  m_sum += other.m_sum;
+}
+
+uint64_t LatencyHistogram::CountUpTo(absl::Duration limit) const {
+  double counted = 0;
+  for (auto&& bin : boost::histogram::indexed(
+           m_histogram, boost::histogram::coverage::all)) {
+    if (bin.bin().upper() <= absl::ToDoubleSeconds(limit) * kBinTolerance) {
+      counted += *bin;
+    }
+  }
+  return static_cast<uint64_t>(counted);
 }
 
 absl::Duration LatencyHistogram::Quantile(double quantile) const {
@@ -77,6 +127,11 @@
   found->second.Add(latency);
 }
 
+void Metrics::SetGauge(absl::string_view name, int64_t value) {
+  absl::MutexLock lock(&m_gauge_mutex);
+  m_gauges.insert_or_assign(std::string(name), value);
+}
+
 std::map<std::string, uint64_t> Metrics::Counters() const {
   std::map<std::string, uint64_t> sums;
   for (const Shard& shard : m_shards) {
@@ -113,4 +168,38 @@
   return json.dump();
 }
 
+std::string Metrics::ToText() const {
+  std::string text;
+  std::string last;
+  for (const auto& [name, amount] : Counters()) {
+    const auto [family, labels] = TextName(name);
+    StartFamily(family + "_total", "counter", &last, &text);
+    absl::StrAppend(&text, family, "_total", Labels(labels), " ", amount, "\n");
+  }
+  {
+    absl::MutexLock lock(&m_gauge_mutex);
+    for (const auto& [name, value] : m_gauges) {
+      const auto [family, labels] = TextName(name);
+      StartFamily(family, "gauge", &last, &text);
+      absl::StrAppend(&text, family, Labels(labels), " ", value, "\n");
+    }
+  }
+  for (const auto& [name, histogram] : Latencies()) {
+    const auto [base, labels] = TextName(name);
+    const std::string family = base + "_seconds";
+    StartFamily(family, "histogram", &last, &text);
+    const std::string before = labels.empty() ? "" : labels + ",";
+    for (const double limit : kBucketsMs) {
+      absl::StrAppend(&text, family, "_bucket{", before, "le=\"", limit / 1000,
+                      "\"} ", histogram.CountUpTo(absl::Milliseconds(limit)),
+                      "\n");
+    }
+    absl::StrAppend(&text, family, "_bucket{", before, "le=\"+Inf\"} ",
+                    histogram.Count(), "\n", family, "_sum", Labels(labels),
+                    " ", absl::ToDoubleSeconds(histogram.Sum()), "\n", family,
+                    "_count", Labels(labels), " ", histogram.Count(), "\n");
+  }
+  return text;
+}
+
 }  // namespace heatherwick
--- a/Source/base/metrics.h
+++ b/Source/base/metrics.h
@@ -26,6 +26,9 @@
   void Add(absl::Duration latency);
   void Merge(const LatencyHistogram& other);
   uint64_t Count() const { return m_count; }
+  absl::Duration Sum() const { return m_sum; }
+  // Latencies not above `limit`; exact to one bin, 6%.
+  uint64_t CountUpTo(absl::Duration limit) const;
   // Upper edge of the bin that holds the quantile, 0 <= quantile <= 1;
   // zero when nothing was added. The relative error is below 6%.
   absl::Duration Quantile(double quantile) const;
@@ -38,6 +41,7 @@
 
   Histogram m_histogram;
   uint64_t m_count = 0;
+  absl::Duration m_sum;
 };
 
 class Metrics {
@@ -46,11 +50,16 @@
   // behind where a metric has one: "requests/done".
   void Count(absl::string_view name, uint64_t amount = 1);
   void Observe(absl::string_view name, absl::Duration latency);
+  // A value of the present moment, replaced by the next one.
+  void SetGauge(absl::string_view name, int64_t value);
 
   std::map<std::string, uint64_t> Counters() const;
   std::map<std::string, LatencyHistogram> Latencies() const;
   // {"counters":{...},"latencies_ms":{name:{count,p50,p99,p999}}}
   std::string ToJson() const;
+  // The text format that monitoring systems scrape: "requests/done" becomes
+  // heatherwick_requests_total{kind="done"}, a latency a histogram in seconds.
+  std::string ToText() const;
 
  private:
   static constexpr size_t kShards = 16;
@@ -65,6 +74,9 @@
   Shard& ShardOfThread();
 
   std::array<Shard, kShards> m_shards;
+  mutable absl::Mutex m_gauge_mutex;
+  std::map<std::string, int64_t, std::less<>> m_gauges
+      ABSL_GUARDED_BY(m_gauge_mutex);
 };
 
 }  // namespace heatherwick
--- a/Source/programs/heatherwickd.cc
+++ b/Source/programs/heatherwickd.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Source/base/log_writer.h"
 #include "Source/base/settings.h"
 #include "Source/runtime/daemon.h"
 #include "Source/runtime/daemon_options.h"
@@ -75,6 +76,7 @@
     return 0;
   }
   const sigset_t signals = BlockStopSignals();
+  const LogWriter log_writer({});
   auto started = Daemon::Start(options);
   if (!Ok(started)) {
     std::cerr << "heatherwickd: " << ErrorOf(started).Describe() << "\n";
@@ -94,8 +96,6 @@
 }  // namespace heatherwick
 
 int main(int argc, char** argv) {
-  // Instances have no disks: the log goes to standard error.
-  FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   return heatherwick::Run(argc, argv);
 }
