gateway: Let few members read a store that is away

Longer pauses for everyone: they delay the first reading after an outage on six machines as well.

A reader that cannot read the store says so, and only the first eight members in the table's ranking then try the store themselves; the others ask the next one. A reader that does not answer at all is passed over by direct polling as before.

SharedRowStore_StoreDownForAll_FewReadIt failed before (24 of 24 read).

--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -196,8 +196,13 @@
           }
           const bool refused =
               absl::StrContains(status.error_message(), "refused");
-          done(Error{refused ? ErrorKind::kNotFound : ErrorKind::kUnavailable,
-                     status.error_message(), "check the instance"});
+          ErrorKind kind = ErrorKind::kUnavailable;
+          if (status.error_code() == grpc::StatusCode::FAILED_PRECONDITION) {
+            kind = ErrorKind::kNotHome;
+          } else if (refused) {
+            kind = ErrorKind::kNotFound;
+          }
+          done(Error{kind, status.error_message(), "check the instance"});
         });
       };
   (raw->stub->async()->*method)(&raw->context, &raw->request, &raw->reply,
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -13,6 +13,12 @@
 
 // A member that failed to answer is not asked again for this long.
 constexpr absl::Duration kAvoidFor = absl::Seconds(3);
+// The same for one that answered that it cannot read the store; the others
+// of the first kDirectReaders are asked before it is asked again.
+constexpr absl::Duration kAvoidAnsweringFor = absl::Milliseconds(500);
+// When readers answer that the store is away, only this many members try it
+// themselves: 82 that all did made 10,000 calls in an outage of 6 s.
+constexpr size_t kDirectReaders = 8;
 
 }  // namespace
 
@@ -52,6 +58,16 @@
   return best;
 }
 
+bool SharedRowStore::MayReadDirectly(const std::string& table) const {
+  const uint64_t seed = StableHash(table);
+  const uint64_t own = StableHash(m_self, seed);
+  const Members members = m_members();
+  const auto before = std::count_if(
+      members.begin(), members.end(),
+      [&](const auto& member) { return StableHash(member.first, seed) > own; });
+  return static_cast<size_t>(before) < kDirectReaders;
+}
+
 void SharedRowStore::ReadTable(const std::string& table,
                                absl::Duration timeout,
                                std::function<void(Result<RowChanges>)> done) {
@@ -93,6 +109,12 @@
           LOG(INFO) << "event=reader_avoided table=" << table
                     << " reader=" << reader << " cause=\""
                     << ErrorOf(answer).message << "\"";
+          const bool answered = ErrorOf(answer).kind == ErrorKind::kNotHome;
+          if (answered && !MayReadDirectly(table)) {
+            m_avoided[reader] = m_loop->Now() + kAvoidAnsweringFor;
+            done(ErrorOf(answer));
+            return;
+          }
           m_avoided[reader] = m_loop->Now() + kAvoidFor;
           PollDirectly(table, version, wait, timeout, done);
           return;
@@ -172,7 +194,7 @@
   std::list<Follower> followers = std::move(table->followers);
   table->followers.clear();
   for (const Follower& follower : followers) {
-    follower.answer(error);
+    follower.answer(Error{ErrorKind::kNotHome, error.message, error.remedy});
   }
 }
 
--- a/Source/gateway/shared_row_store.h
+++ b/Source/gateway/shared_row_store.h
@@ -2,9 +2,9 @@
 // following the store then does not grow with the number of instances.
 //
 // Every instance ranks the members for a table in the same way; the first one
-// polls the store, the others ask it. When it does not answer, or does not
-// read the table itself, an instance polls the store directly and avoids that
-// member for a while.
+// polls the store, the others ask it. When it does not answer, an instance
+// polls the store directly and avoids that member for a while. When it answers
+// that it cannot read the store, only the first few members try themselves.
 
 #ifndef SOURCE_GATEWAY_SHARED_ROW_STORE_H_
 #define SOURCE_GATEWAY_SHARED_ROW_STORE_H_
@@ -69,6 +69,8 @@
 
   // The member that reads `table`; empty for this instance.
   std::string ReaderOf(const std::string& table);
+  // True for the first members in the table's ranking.
+  bool MayReadDirectly(const std::string& table) const;
   void PollDirectly(const std::string& table,
                     uint64_t version,
                     absl::Duration wait,
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -94,8 +94,10 @@
     std::map<std::string, std::string> rows;
   };
 
-  SharedStoreFixture() {
-    for (const char* name : {"a", "b", "c", "d"}) {
+  SharedStoreFixture() : SharedStoreFixture(4) {}
+  explicit SharedStoreFixture(size_t instances) {
+    for (size_t index = 0; index < instances; ++index) {
+      const std::string name(1, static_cast<char>('a' + index));
       m_members[name] = name;
     }
     for (const auto& [name, address] : m_members) {
@@ -183,6 +185,53 @@
   }
 }
 
+class LargeSharedStoreFixture : public SharedStoreFixture {
+ protected:
+  LargeSharedStoreFixture() : SharedStoreFixture(24) {}
+};
+
+// On a grown deployment, 82 instances polled a store that was down, and all
+// calls are priced.
+TEST_CASE_FIXTURE(LargeSharedStoreFixture,
+                  "SharedRowStore_StoreDownForAll_FewReadIt") {
+  for (const auto& [name, instance] : m_instances) {
+    instance->direct.SetDown(true);
+  }
+  m_loop.RunFor(absl::Seconds(2));
+  size_t readers = 0;
+  for (const auto& [name, instance] : m_instances) {
+    const int before = instance->direct.polls;
+    m_loop.RunFor(absl::Seconds(3));
+    readers += instance->direct.polls > before ? 1 : 0;
+  }
+  CHECK(readers <= 8);
+  for (const auto& [name, instance] : m_instances) {
+    instance->direct.SetDown(false);
+  }
+  m_loop.RunFor(absl::Seconds(3));
+  Write("k", "v4");
+  m_loop.RunFor(absl::Seconds(1));
+  for (const auto& [name, instance] : m_instances) {
+    CHECK(instance->rows["k"] == "v4");
+  }
+}
+
+// Readers that are gone must not keep the others from the store.
+TEST_CASE_FIXTURE(LargeSharedStoreFixture,
+                  "SharedRowStore_HalfSilent_OthersReadTheStore") {
+  for (const auto& [name, instance] : m_instances) {
+    instance->silent = name < "m";
+  }
+  m_loop.RunFor(absl::Seconds(3));
+  Write("k", "v5");
+  m_loop.RunFor(absl::Seconds(2));
+  for (const auto& [name, instance] : m_instances) {
+    if (!instance->silent) {
+      CHECK(instance->rows["k"] == "v5");
+    }
+  }
+}
+
 // A follower must not extend its lease by a reading that is not renewed.
 TEST_CASE_FIXTURE(SharedStoreFixture,
                   "SharedRowStore_StoreDownForAll_ReadingsGrowOld") {
