gateway: Do not keep an old primary that may be replaced by an order

The holder asked the databases again, found the old primary still leading, published it as kept, and the promotion took effect: 152 writes were acknowledged by a replaced primary. A second holder could do the same, as it does not know what the first one ordered.

The lease and the token: both held; the wrong step was the choice after the order.

After an order, and in a change that was taken over or started again, the old primary is kept only once no order can take effect any more. Until then the candidate of an unanswered order stays the candidate.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -86,6 +86,9 @@
   TargetId candidate;
   uint64_t candidate_term = 0;  // Once it is known to lead.
   absl::Time promoted_at;
+  // An order of a promotion that was sent may take effect until then, so the
+  // old primary may not be kept before.
+  absl::Time order_pending_until = absl::InfinitePast();
   std::unique_ptr<Timer> timer;
 };
 
@@ -757,6 +760,10 @@
   promotion.old_primary = leader.primary;
   promotion.epoch = leader.epoch + 1;
   promotion.published_before = m_loop->Now();
+  if (leader.phase == LeaderPhase::kChanging) {
+    // An earlier holder, or an earlier attempt, may have sent an order.
+    promotion.order_pending_until = m_loop->Now() + kPromotionLimit;
+  }
   GroupLeader next = leader;
   next.epoch = promotion.epoch;
   next.phase = LeaderPhase::kChanging;
@@ -970,9 +977,11 @@
     }
   }
   // The old primary leads and nothing speaks against it: it stays.
-  if (!promotion->planned && promotion->old_status &&
-      promotion->old_status->primary &&
-      promotion->old_status->term >= highest_term) {
+  const bool old_leads = promotion->old_status &&
+                         promotion->old_status->primary &&
+                         promotion->old_status->term >= highest_term;
+  if (!promotion->planned && old_leads &&
+      now >= promotion->order_pending_until) {
     LOG(INFO) << "event=primary_kept group=" << group
               << " primary=" << promotion->old_primary;
     promotion->candidate = promotion->old_primary;
@@ -980,6 +989,14 @@
     PublishLeader(group, attempt);
     return;
   }
+  // An order without an answer may take effect; a second candidate beside it
+  // could be replaced by it.
+  const auto ordered = promotion->statuses.find(promotion->candidate);
+  if (ordered != promotion->statuses.end() &&
+      now < promotion->order_pending_until) {
+    best = &ordered->first;
+    best_position = ordered->second.received;
+  }
   const bool behind = best != nullptr && promotion->old_status &&
                       best_position < promotion->old_status->received;
   if (best == nullptr ||
@@ -1005,6 +1022,8 @@
     return;
   }
   promotion->promoted_at = m_loop->Now();
+  promotion->order_pending_until =
+      promotion->promoted_at + kPromoteTimeout + kPromotionLimit;
   m_promotions->Promote(
       group, promotion->candidate, m_settings.self, m_token, kPromoteTimeout,
       [this, group, attempt, alive = m_alive](const Status& status) {
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -208,7 +208,7 @@
                const std::string& target,
                const std::string& holder,
                uint64_t fencing_token,
-               absl::Duration,
+               absl::Duration timeout,
                std::function<void(Status)> done) override {
     CHECK_MESSAGE(fencing_token >= m_last_token, "token of ", holder,
                   " is lower than an earlier one");
@@ -240,8 +240,13 @@
       status.term = term + 1;
       status.received = {term + 1, status.received.lsn + 1};
     });
-    m_loop.Add(absl::Milliseconds(5),
-               [done = std::move(done)]() { done(std::monostate{}); });
+    const bool lost = std::exchange(lose_promotion_answer, false);
+    m_loop.Add(lost ? timeout : absl::Milliseconds(5),
+               [lost, done = std::move(done)]() {
+                 done(lost ? Status(Error{ErrorKind::kUnavailable,
+                                          "no answer in time", ""})
+                           : Status(std::monostate{}));
+               });
   }
 
   // True when every instance uses `target`.
@@ -258,7 +263,8 @@
   FakeTable m_table;
   std::map<TargetId, FakeDatabase> m_databases;
   std::vector<TargetId> promoted;
-  absl::Duration poll_delay;  // Of instances that are added later.
+  bool lose_promotion_answer = false;  // The next one's.
+  absl::Duration poll_delay;           // Of instances that are added later.
 
  private:
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -318,6 +318,56 @@
   CHECK(m_cluster->promoted.size() == 1);
 }
 
+// Seed 12 of the soak: the order's answer was lost, the old primary still led
+// when the holder asked again, and it was published as kept while the
+// promotion took effect.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_PromotionUnanswered_OldPrimaryNotKept") {
+  Start(3);
+  m_cluster->lose_promotion_answer = true;
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).unreachable.insert("g0-db0");
+  }
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+  }
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).unreachable.clear();
+  }
+  for (int step = 0; step < 500; ++step) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+    for (size_t index = 0; index < 3; ++index) {
+      CHECK(m_cluster->At(index).Manager().UsablePrimary("g0") != "g0-db0");
+    }
+  }
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// A second holder cannot know what the first one ordered.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_HolderDiesAfterOrder_OldPrimaryNotKept") {
+  Start(3);
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).unreachable.insert("g0-db0");
+  }
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+  }
+  const InstanceId holder =
+      m_cluster->At(0).Manager().View().Leader("g0").holder;
+  m_cluster->AddNode(holder);
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).unreachable.clear();
+  }
+  for (int step = 0; step < 500; ++step) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+    for (size_t index = 0; index < 3; ++index) {
+      CHECK(m_cluster->At(index).Manager().UsablePrimary("g0") != "g0-db0");
+    }
+  }
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 // A member whose row was removed registers again before it uses a primary.
 TEST_CASE_FIXTURE(ClusterFixture,
                   "LeadershipManager_OwnRowRemoved_RegistersAgain") {
