tests: Add a fault soak of real processes

Change. heatherwick-soak starts instances as processes before stand-ins of the store and of a group with lagging replicas, terms and deposed primaries, harms them by signals and loopback proxies from a seed, and checks six promises from what callers and databases saw. The stand-in of the group models replication now, and the whole-path test uses the same one. Each check is shown failing on a made history (call_history_test).

--- a/Tests/platform/platform_standin.cc
+++ b/Tests/platform/platform_standin.cc
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "Source/base/steady_clock.h"
@@ -50,12 +51,23 @@
 LoopbackServer::LoopbackServer(Serve serve)
     : m_acceptor(m_context,
                  tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
-      m_serve(std::move(serve)) {
-  std::thread([this]() { Accept(); }).detach();
-}
+      m_endpoint(m_acceptor.local_endpoint()),
+      m_serve(std::move(serve)),
+      m_accepting([this]() { Accept(); }) {}
 
 std::string LoopbackServer::Address() const {
-  return absl::StrCat("127.0.0.1:", m_acceptor.local_endpoint().port());
+  return absl::StrCat("127.0.0.1:", m_endpoint.port());
+}
+
+void LoopbackServer::Reopen() {
+  m_accepting.join();
+  error_code ignored;
+  m_acceptor.close(ignored);
+  m_acceptor.open(tcp::v4());
+  m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_acceptor.bind(m_endpoint);
+  m_acceptor.listen();
+  m_accepting = std::thread([this]() { Accept(); });
 }
 
 void LoopbackServer::Accept() {
@@ -125,6 +137,15 @@
                            &reply));
     response.body() = reply;
     response.prepare_payload();
+    const uint64_t lose_every = m_lose_every;
+    if (lose_every > 0 && request.target() == "/heatherwick/rows-tx" &&
+        m_calls % lose_every == 0) {
+      return;
+    }
+    if (request.target() == "/promote" && on_token) {
+      on_token(std::string(request["X-Heatherwick-Duty-Holder"]),
+               Number(std::string(request["X-Heatherwick-Fencing-Token"])));
+    }
     http::write(socket, response, error);
     if (error) {
       return;
@@ -217,56 +238,188 @@
 
 StandInGroup::StandInGroup(std::string service,
                            size_t databases,
-                           StandInStore* store)
-    : m_service(std::move(service)), m_store(store) {
+                           StandInStore* store,
+                           StandInModel model,
+                           Route route)
+    : m_service(std::move(service)),
+      m_store(store),
+      m_model(model),
+      m_route(std::move(route)) {
+  absl::MutexLock lock(&m_mutex);
   for (size_t index = 0; index < databases; ++index) {
     const std::string id = absl::StrCat(m_service, "-", index);
-    m_servers[id] = std::make_unique<LoopbackServer>(
+    Database& database = m_databases[id];
+    database.server = std::make_unique<LoopbackServer>(
         [this, id](tcp::socket socket) { Serve(id, std::move(socket)); });
     if (index == 0) {
       m_primary = id;
+      database.leads = true;
     }
     Register(id);
   }
 }
 
 void StandInGroup::Register(const std::string& id) {
+  const Database& database = m_databases[id];
+  const std::string address = database.server->Address();
   m_store->Put("servers", id,
                json{{"service", m_service},
-                    {"address", m_servers[id]->Address()},
+                    {"address", m_route ? m_route(address) : address},
                     {"zone", "z-a"},
                     {"state", "ready"},
-                    {"dbRole", id == m_primary ? "primary" : "replica"}}
+                    {"dbRole", database.leads ? "primary" : "replica"}}
                    .dump());
 }
 
+void StandInGroup::RunLater(absl::Duration delay, std::function<void()> task) {
+  if (delay <= absl::ZeroDuration()) {
+    task();
+    return;
+  }
+  std::thread([delay, task = std::move(task)]() {
+    absl::SleepFor(delay);
+    task();
+  }).detach();
+}
+
 void StandInGroup::Promote(const std::string& id) {
-  absl::MutexLock lock(&m_mutex);
-  m_primary = id;
-  ++m_term;
-  m_number = 1;
-  Register(id);
+  RunLater(m_model.promote_time, [this, id]() {
+    absl::MutexLock lock(&m_mutex);
+    Database& promoted = m_databases[id];
+    if (id == m_primary || !promoted.alive) {
+      return;
+    }
+    Receive(&promoted);
+    const std::string old = m_primary;
+    for (const size_t index : m_databases[old].log) {
+      StandInCommit& commit = m_commits[index];
+      commit.lost |= std::find(promoted.log.begin(), promoted.log.end(),
+                               index) == promoted.log.end();
+    }
+    m_primary = id;
+    promoted.leads = true;
+    promoted.term = ++m_term;
+    ++promoted.first_number;
+    Register(id);
+    RunLater(m_model.demote_time, [this, old]() {
+      // The caller's lock is still held where there is no delay.
+      std::thread([this, old]() {
+        absl::MutexLock demoting(&m_mutex);
+        Demote(old);
+      }).detach();
+    });
+  });
+}
+
+void StandInGroup::Demote(const std::string& id) {
+  Database& database = m_databases[id];
+  if (id != m_primary && database.alive && database.leads) {
+    database.leads = false;
+    Register(id);
+  }
 }
 
 void StandInGroup::Crash(const std::string& id) {
-  m_servers[id]->Close();
+  {
+    absl::MutexLock lock(&m_mutex);
+    m_databases[id].alive = false;
+    m_databases[id].server->Close();
+  }
   m_store->Drop("servers", id);
 }
 
+void StandInGroup::Restart(const std::string& id) {
+  absl::MutexLock lock(&m_mutex);
+  Database& database = m_databases[id];
+  if (!database.alive) {
+    database.alive = true;
+    database.leads = id == m_primary;
+    database.server->Reopen();
+    Register(id);
+  }
+}
+
 std::string StandInGroup::Primary() {
   absl::MutexLock lock(&m_mutex);
   return m_primary;
 }
 
+std::vector<std::string> StandInGroup::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [id, database] : m_databases) {
+    names.push_back(id);
+  }
+  return names;
+}
+
 std::vector<std::string> StandInGroup::Committed() {
+  std::vector<std::string> values;
+  for (const StandInCommit& commit : Commits()) {
+    values.push_back(commit.value);
+  }
+  return values;
+}
+
+std::vector<StandInCommit> StandInGroup::Commits() {
   absl::MutexLock lock(&m_mutex);
-  return m_committed;
+  return m_commits;
+}
+
+void StandInGroup::Append(Database* database, size_t commit) {
+  database->log.push_back(commit);
+  database->items[m_commits[commit].item] = m_commits[commit].value;
+}
+
+void StandInGroup::Commit(Database* database,
+                          const std::string& statement,
+                          const std::string& item,
+                          const std::string& value) {
+  StandInCommit commit;
+  commit.id = statement;
+  commit.item = item;
+  commit.value = value;
+  commit.term = database->term;
+  commit.number = database->first_number + database->log.size() + 1;
+  commit.committed = SteadyNow();
+  commit.deposed = database != &m_databases[m_primary];
+  commit.lost = commit.deposed;
+  m_commits.push_back(commit);
+  Append(database, m_commits.size() - 1);
+}
+
+void StandInGroup::Receive(Database* database) {
+  Database& primary = m_databases[m_primary];
+  if (database->leads || database == &primary) {
+    return;
+  }
+  const absl::Time until = SteadyNow() - m_model.lag;
+  const bool same_lineage =
+      database->log.size() <= primary.log.size() &&
+      std::equal(database->log.begin(), database->log.end(),
+                 primary.log.begin());
+  if (!same_lineage) {  // What the primary lacks is rolled back.
+    database->log.clear();
+    database->items.clear();
+  }
+  database->term = primary.term;
+  database->first_number = primary.first_number;
+  while (database->log.size() < primary.log.size() &&
+         m_commits[primary.log[database->log.size()]].committed <= until) {
+    Append(database, primary.log[database->log.size()]);
+  }
 }
 
-std::string StandInGroup::Ready(const Session& session) {
+std::pair<uint64_t, uint64_t> StandInGroup::End(
+    const Database& database) const {
+  return {database.term, database.first_number + database.log.size()};
+}
+
+std::string StandInGroup::Ready(const Database& database,
+                                const Session& session) const {
+  const auto [term, number] = End(database);
   return absl::StrCat("READY ",
                       session.failed ? "E" : (session.open ? "T" : "I"), " ",
-                      m_term, ".", m_number, "\r\n");
+                      term, ".", number, "\r\n");
 }
 
 void StandInGroup::Serve(const std::string& id, tcp::socket socket) {
@@ -290,7 +443,7 @@
         reply = "ERROR MOVED wrong name\r\n";
       } else {
         absl::MutexLock lock(&m_mutex);
-        reply = Ready(session);
+        reply = Ready(m_databases[id], session);
       }
     } else {
       reply = Answer(id, line, &session);
@@ -303,61 +456,79 @@
                                  const std::string& line,
                                  Session* session) {
   absl::MutexLock lock(&m_mutex);
+  Database& database = m_databases[id];
+  Receive(&database);
   std::vector<std::string> words = absl::StrSplit(line, ' ');
+  const std::string statement = words[1];
   words.erase(words.begin(), words.begin() + 2);  // QUERY and the id.
+  std::string rows;
+  const std::string outcome =
+      Run(&database, id, statement, std::move(words), session, &rows);
+  return absl::StrCat(rows, outcome, "\r\n", Ready(database, *session));
+}
+
+std::string StandInGroup::Run(Database* database,
+                              const std::string& id,
+                              const std::string& statement,
+                              std::vector<std::string> words,
+                              Session* session,
+                              std::string* rows) {
   if (words[0] == "AFTER") {
+    const std::vector<std::string> position = absl::StrSplit(words[1], '.');
+    if (End(*database) < std::pair(Number(position[0]), Number(position[1]))) {
+      return absl::StrCat("ERROR LAGGING ", id);
+    }
     words.erase(words.begin(), words.begin() + 2);
   }
-  const bool primary = id == m_primary;
   if (words[0] == "EXECUTE") {
     const auto prepared = session->prepared.find(words[1]);
     if (prepared == session->prepared.end()) {
-      return absl::StrCat("ERROR NOSTMT ", words[1], "\r\n", Ready(*session));
+      return absl::StrCat("ERROR NOSTMT ", words[1]);
     }
     words.erase(words.begin());
     words[0] = prepared->second;
   }
-  const bool writes =
-      words[0] == "WRITE" || (words[0] == "BEGIN" && words.size() == 1);
-  if (writes && !primary) {
+  const bool plain_begin = words[0] == "BEGIN" && words.size() == 1;
+  const bool needs_lead =
+      words[0] == "WRITE" || plain_begin ||
+      (session->open && !session->read_only && words[0] != "ROLLBACK" &&
+       !(words[0] == "COMMIT" && session->writes.empty()));
+  if (needs_lead && !database->leads) {
     session->failed = session->open;
-    return absl::StrCat("ERROR READONLY ", id, "\r\n", Ready(*session));
+    session->writes.clear();
+    return absl::StrCat("ERROR READONLY ", id);
   }
-  std::string rows;
-  std::string signature = "-";
   if (words[0] == "BEGIN") {
     session->open = true;
+    session->read_only = !plain_begin;
   } else if (words[0] == "ROLLBACK") {
     *session = {false, false, false, {}, session->prepared};
   } else if (words[0] == "COMMIT") {
-    for (const std::string& write : session->writes) {
-      m_committed.push_back(write);
-      ++m_number;
+    for (const auto& [item, value] : session->writes) {
+      Commit(database, statement, item, value);
     }
-    session->writes.clear();
-    session->open = false;
-    signature = "commit";
+    *session = {false, false, false, {}, session->prepared};
+    return "COMPLETE commit";
   } else if (words[0] == "READ") {
-    rows = absl::StrCat("DATAROW ", m_items[words[1]], "\r\n");
-    signature = absl::StrCat("read.", id);
+    *rows = absl::StrCat("DATAROW ", database->items[words[1]], "\r\n");
+    return absl::StrCat("COMPLETE read.", id);
   } else if (words[0] == "WRITE") {
-    m_items[words[1]] = words[2];
     if (session->open) {
-      session->writes.push_back(words[2]);
+      session->writes.emplace_back(words[1], words[2]);
     } else {
-      m_committed.push_back(words[2]);
-      ++m_number;
+      Commit(database, statement, words[1], words[2]);
     }
-    signature = absl::StrCat("write.", id);
+    return absl::StrCat("COMPLETE write.", id);
   } else if (words[0] == "PREPARE") {
     session->prepared[words[1]] = words[2];
   } else if (words[0] == "RESET") {
     session->prepared.clear();
   } else if (words[0] == "STATUS") {
-    rows = absl::StrCat("DATAROW ", primary ? "primary " : "replica ", m_term,
-                        " ", m_term, ".", m_number, " 0 1 0 1\r\n");
+    const auto [term, number] = End(*database);
+    *rows = absl::StrCat("DATAROW ", database->leads ? "primary " : "replica ",
+                         term, " ", term, ".", number, " ", term, " 0 0 1\r\n");
   }
-  return absl::StrCat(rows, "COMPLETE ", signature, "\r\n", Ready(*session));
+  return "COMPLETE -";
 }
 
 }  // namespace heatherwick::platform
--- /dev/null
+++ b/Tests/soak/instance_process.cc
@@ -0,0 +1,80 @@
+// Start and end of one process, by its id.
+
+#include "Tests/soak/instance_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <fstream>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace heatherwick::platform {
+
+InstanceProcess::InstanceProcess(InstanceSettings settings)
+    : m_settings(std::move(settings)) {
+  std::ofstream file(
+      absl::StrCat(m_settings.directory, "/", m_settings.name, ".conf"));
+  file << "nodeName=" << m_settings.name << "\nzone=z-a\n"
+       << "listenAddrs.front=127.0.0.1:" << m_settings.first_port << "\n"
+       << "listenAddrs.ready=127.0.0.1:" << ReadyPort() << "\n"
+       << "internalPortRange=" << m_settings.first_port + 2 << ","
+       << m_settings.first_port + 3 << "\n"
+       << "platform.address=" << m_settings.store << "\n"
+       << "cloudApi.address=" << m_settings.promotions << "\n"
+       << "bounds.graceS=4\n";
+}
+
+InstanceProcess::~InstanceProcess() {
+  Kill();
+}
+
+void InstanceProcess::Start() {
+  const std::string base =
+      absl::StrCat(m_settings.directory, "/", m_settings.name);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, (base + ".log").c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  std::string program = m_settings.program;
+  std::string variable = absl::StrCat("HEATHERWICK_NODE_FILE=", base, ".conf");
+  char* arguments[] = {program.data(), nullptr};
+  char* environment[] = {variable.data(), nullptr};
+  const int failed = posix_spawn(&m_process, program.c_str(), &actions, nullptr,
+                                 arguments, environment);
+  CHECK_EQ(failed, 0) << "cannot start " << program;
+  posix_spawn_file_actions_destroy(&actions);
+  m_asked_to_stop = false;
+}
+
+void InstanceProcess::Signal(int number) const {
+  if (Running()) {
+    m_asked_to_stop |= number == SIGTERM || number == SIGKILL;
+    kill(m_process, number);
+  }
+}
+
+void InstanceProcess::Kill() {
+  if (Running()) {
+    Signal(SIGKILL);
+    waitpid(m_process, nullptr, 0);
+    m_process = 0;
+  }
+}
+
+bool InstanceProcess::Reap(bool* unexpected) {
+  if (!Running() || waitpid(m_process, nullptr, WNOHANG) != m_process) {
+    return !Running();
+  }
+  m_process = 0;
+  *unexpected = !m_asked_to_stop;
+  return true;
+}
+
+}  // namespace heatherwick::platform
