--- a/Tests/soak/call_history.cc
+++ b/Tests/platform/soak/call_history.cc
@@ -1,6 +1,6 @@
 // The checks, after the run.
 
-#include "Tests/soak/call_history.h"
+#include "Tests/platform/soak/call_history.h"
 
 #include <algorithm>
 #include <map>
--- a/Tests/soak/call_history.h
+++ b/Tests/platform/soak/call_history.h
@@ -2,8 +2,8 @@
 // against the product's promises. Values of one item grow: the n-th write of
 // an item by its only writer carries the number n.
 
-#ifndef TESTS_SOAK_CALL_HISTORY_H_
-#define TESTS_SOAK_CALL_HISTORY_H_
+#ifndef TESTS_PLATFORM_SOAK_CALL_HISTORY_H_
+#define TESTS_PLATFORM_SOAK_CALL_HISTORY_H_
 
 #include <cstdint>
 #include <string>
@@ -62,4 +62,4 @@
 
 }  // namespace heatherwick::platform
 
-#endif  // TESTS_SOAK_CALL_HISTORY_H_
+#endif  // TESTS_PLATFORM_SOAK_CALL_HISTORY_H_
--- a/Tests/soak/call_history_test.cc
+++ b/Tests/platform/soak/call_history_test.cc
@@ -1,6 +1,6 @@
 // Shows that each check of the soak can fail.
 
-#include "Tests/soak/call_history.h"
+#include "Tests/platform/soak/call_history.h"
 
 #include <string>
 
--- a/Tests/soak/fault_proxy.cc
+++ b/Tests/platform/soak/fault_proxy.cc
@@ -1,6 +1,6 @@
 // One thread a connection moves the bytes of both directions.
 
-#include "Tests/soak/fault_proxy.h"
+#include "Tests/platform/soak/fault_proxy.h"
 
 #include <poll.h>
 #include <sys/socket.h>
--- a/Tests/soak/fault_proxy.h
+++ b/Tests/platform/soak/fault_proxy.h
@@ -1,7 +1,7 @@
 // A loopback proxy that harms the connections through it.
 
-#ifndef TESTS_SOAK_FAULT_PROXY_H_
-#define TESTS_SOAK_FAULT_PROXY_H_
+#ifndef TESTS_PLATFORM_SOAK_FAULT_PROXY_H_
+#define TESTS_PLATFORM_SOAK_FAULT_PROXY_H_
 
 #include <atomic>
 #include <cstdint>
@@ -42,4 +42,4 @@
 
 }  // namespace heatherwick::platform
 
-#endif  // TESTS_SOAK_FAULT_PROXY_H_
+#endif  // TESTS_PLATFORM_SOAK_FAULT_PROXY_H_
--- a/Tests/soak/instance_process.cc
+++ b/Tests/platform/soak/instance_process.cc
@@ -1,6 +1,6 @@
 // Start and end of one process, by its id.
 
-#include "Tests/soak/instance_process.h"
+#include "Tests/platform/soak/instance_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/Tests/soak/instance_process.h
+++ b/Tests/platform/soak/instance_process.h
@@ -1,7 +1,7 @@
 // One heatherwick-platform process that the soak starts, signals and ends.
 
-#ifndef TESTS_SOAK_INSTANCE_PROCESS_H_
-#define TESTS_SOAK_INSTANCE_PROCESS_H_
+#ifndef TESTS_PLATFORM_SOAK_INSTANCE_PROCESS_H_
+#define TESTS_PLATFORM_SOAK_INSTANCE_PROCESS_H_
 
 #include <sys/types.h>
 
@@ -50,4 +50,4 @@
 
 }  // namespace heatherwick::platform
 
-#endif  // TESTS_SOAK_INSTANCE_PROCESS_H_
+#endif  // TESTS_PLATFORM_SOAK_INSTANCE_PROCESS_H_
--- a/Tests/soak/soak_caller.cc
+++ b/Tests/platform/soak/soak_caller.cc
@@ -1,6 +1,6 @@
 // Statements of a caller and what their answers promise.
 
-#include "Tests/soak/soak_caller.h"
+#include "Tests/platform/soak/soak_caller.h"
 
 #include <sys/socket.h>
 #include <sys/time.h>
--- a/Tests/soak/soak_caller.h
+++ b/Tests/platform/soak/soak_caller.h
@@ -1,8 +1,8 @@
 // A caller that writes and reads through any instance, in a thread of its own,
 // and keeps open connections until they end.
 
-#ifndef TESTS_SOAK_SOAK_CALLER_H_
-#define TESTS_SOAK_SOAK_CALLER_H_
+#ifndef TESTS_PLATFORM_SOAK_SOAK_CALLER_H_
+#define TESTS_PLATFORM_SOAK_SOAK_CALLER_H_
 
 #include <atomic>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include <thread>
 #include <vector>
 
-#include "Tests/soak/call_history.h"
+#include "Tests/platform/soak/call_history.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 
@@ -67,4 +67,4 @@
 
 }  // namespace heatherwick::platform
 
-#endif  // TESTS_SOAK_SOAK_CALLER_H_
+#endif  // TESTS_PLATFORM_SOAK_SOAK_CALLER_H_
