--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <exception>
 #include <filesystem>
 #include <functional>
 #include <iostream>
@@ -416,5 +417,10 @@
 }  // namespace heatherwick::platform
 
 int main(int argc, char** argv) {
-  return heatherwick::platform::Main(argc, const_cast<const char**>(argv));
+  try {
+    return heatherwick::platform::Main(argc, const_cast<const char**>(argv));
+  } catch (const std::exception& error) {
+    std::cerr << "heatherwick-soak: " << error.what() << "\n";
+    return 1;
+  }
 }
