gateway: Read leadership rows of the first version

Rows without the new fields `term` and `joined` were skipped, so an upgrade in place would have found no leader rows and no members.

An absent field stands for "not known".

LeadershipView_RowsOfFirstVersion_AreRead failed before.

--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -66,7 +66,7 @@
       member.incarnation = value.at("incarnation").get<uint64_t>();
       member.peer_address = value.at("peer").get<std::string>();
       member.row_version = row.version;
-      const uint64_t joined = value.at("joined").get<uint64_t>();
+      const uint64_t joined = value.value("joined", uint64_t{0});
       member.joined = joined > 0 ? joined : row.version;
       m_members[std::string(key)] = std::move(member);
     }
@@ -93,7 +93,7 @@
     next.phase = value.at("open").get<bool>() ? LeaderPhase::kOpen
                                               : LeaderPhase::kChanging;
     next.primary = value.at("primary").get<std::string>();
-    next.term = value.at("term").get<uint64_t>();
+    next.term = value.value("term", uint64_t{0});
     next.holder = value.at("holder").get<std::string>();
     next.holder_incarnation = value.at("incarnation").get<uint64_t>();
     next.planned = value.at("planned").get<bool>();
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -64,6 +64,19 @@
   CHECK(m_view.Leader("g").phase == LeaderPhase::kUnknown);
 }
 
+// An upgrade finds the rows of the version before.
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_RowsOfFirstVersion_AreRead") {
+  m_view.Apply(Rows({{"member/x", R"({"incarnation":3,"peer":"p"})", 5, false},
+                     {"leader/g",
+                      R"({"epoch":2,"open":true,"primary":"db2","holder":"x",)"
+                      R"("incarnation":3,"planned":false})",
+                      6, false}}),
+               m_now);
+  CHECK(m_view.Members().at("x").joined == 5);
+  CHECK(m_view.Leader("g").primary == "db2");
+  CHECK(m_view.Leader("g").term == 0);
+}
+
 TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_OlderRowArrivesLate_IsIgnored") {
   m_view.Apply(Rows({LeaderRow(3, LeaderPhase::kOpen, 9)}), m_now);
   m_view.Apply(Rows({LeaderRow(2, LeaderPhase::kChanging, 8)}), m_now);
