gateway: Tell followers when a source fails instead of waiting for age

Cause: a reader whose link of 2 Mbit/s receives 350 kB from the store for 1.4 s looked like one that cannot read it, so that its followers read the document themselves and filled their links too. Once the store had not answered a single poll, the reader waited a whole second again.

Change: a response says whether the latest attempt of the responder failed. After a failure a source is asked for what it has at once.

--- a/Source/decision/relay_choice.cc
+++ b/Source/decision/relay_choice.cc
@@ -41,9 +41,11 @@
 
 void RelayChoice::OnReading(const RelaySource& source) {
   m_avoided.erase(source.member);
+  m_last_failed = false;
 }
 
 void RelayChoice::OnCannotRead(const RelaySource& source, absl::Time now) {
+  m_last_failed = true;
   if (source.IsStore()) {
     // A single failure may be due to a broken connection, so the store is asked
     // again at once, over a new one.
@@ -62,6 +64,7 @@
     OnCannotRead(source, now);
     return;
   }
+  m_last_failed = true;
   Avoid(source, kFirstUnresponsive, kLongestUnresponsive, now);
   m_avoided[source.member].unresponsive = true;
 }
@@ -97,7 +100,7 @@
   }
   const bool switched = !(*chosen == m_current);
   m_current = *chosen;
-  return {*chosen, delay, switched};
+  return {*chosen, delay, switched, switched || m_last_failed};
 }
 
 }  // namespace heatherwick
--- a/Source/decision/relay_choice.h
+++ b/Source/decision/relay_choice.h
@@ -19,9 +19,11 @@
     RelaySource source;
     // Time to wait before the source is asked.
     absl::Duration delay;
-    // The source differs from the one before, so that it is asked for what it
-    // has at once.
+    // The source differs from the one of the last reading.
     bool switched = false;
+    // The source is asked for what it has at once, because it is another one or
+    // the last attempt failed.
+    bool immediate = false;
   };
 
   void SetPlan(RelayPlan plan) { m_plan = std::move(plan); }
@@ -53,6 +55,7 @@
   RelayPlan m_plan;
   std::map<InstanceId, Avoided> m_avoided;  // The store has an empty id.
   RelaySource m_current;
+  bool m_last_failed = false;
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -136,6 +136,7 @@
     reply->set_waited_us(absl::ToInt64Microseconds(answer.waited));
     reply->set_age_us(absl::ToInt64Microseconds(answer.age));
     reply->set_reader(answer.reader);
+    reply->set_failing(answer.failing);
   }
 
   EventLoop* const m_loop;
@@ -317,6 +318,7 @@
         answer.waited = absl::Microseconds(reply.waited_us());
         answer.age = absl::Microseconds(reply.age_us());
         answer.reader = reply.reader();
+        answer.failing = reply.failing();
         done(std::move(answer));
       });
 }
--- a/Source/gateway/peer_transport.h
+++ b/Source/gateway/peer_transport.h
@@ -77,6 +77,8 @@
   // The instance that made the read; empty if the peer runs a version that does
   // not tell.
   InstanceId reader;
+  // The peer's latest attempt to learn of changes failed.
+  bool failing = false;
   std::vector<PackedRow> packed;  // Rows that are not in `changes`.
 };
 
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -13,11 +13,6 @@
 namespace heatherwick {
 namespace {
 
-// A reading may be this much older than the wait of a poll. A source with an
-// older one cannot read the store.
-constexpr absl::Duration kAgeBeyondWait = absl::Milliseconds(900);
-// The same for reading a whole table, which is not waited for.
-constexpr absl::Duration kMaxAgeOfWholeTable = absl::Milliseconds(1900);
 // For members that are asked to answer at once. Short, so that two unresponsive
 // members in a row are passed over within the lease on primaries.
 constexpr absl::Duration kImmediateAnswerTimeout = absl::Milliseconds(400);
@@ -110,8 +105,8 @@
 
 void SharedRowStore::Ask(const std::shared_ptr<Call>& call,
                          const RelayChoice::Next& next) {
-  // A source that is asked for the first time tells at once what it has.
-  const absl::Duration wait = next.switched ? absl::ZeroDuration() : call->wait;
+  const absl::Duration wait =
+      next.immediate ? absl::ZeroDuration() : call->wait;
   if (next.source.IsStore()) {
     AskStore(call, wait);
   } else {
@@ -144,6 +139,7 @@
     return;
   }
   state.choice.OnReading(store);
+  state.failing = false;
   if (Ok(answer)) {
     UpdateCache(&state, ValueOf(answer), m_self, {});
     AnswerFollowers(&state);
@@ -190,12 +186,10 @@
   // The query arrived no earlier than it was sent, so this time is not later
   // than the read.
   changes.as_of = sent + followed.waited - followed.age;
-  const bool too_old =
-      now - changes.as_of >
-      (call->whole_table ? kMaxAgeOfWholeTable : call->wait + kAgeBeyondWait);
+  const bool too_old = now - changes.as_of > state.max_age;
   // An older table must not replace what this instance knows.
   const bool regresses = changes.snapshot && changes.version < state.version;
-  if (too_old || regresses || followed.reader == m_self ||
+  if (too_old || regresses || followed.failing || followed.reader == m_self ||
       (call->whole_table && !changes.snapshot)) {
     state.choice.OnCannotRead(source, now);
     OnSourceFailed(call, {ErrorKind::kUnavailable,
@@ -277,6 +271,7 @@
 void SharedRowStore::Complete(const std::shared_ptr<Call>& call,
                               const std::shared_ptr<Transfer>& transfer) {
   Table& state = m_tables[call->table];
+  state.failing = false;
   FollowResponse& response = transfer->response;
   UpdateCache(&state, response.changes, response.reader,
               std::move(transfer->packed));
@@ -286,6 +281,7 @@
 
 void SharedRowStore::OnSourceFailed(const std::shared_ptr<Call>& call,
                                     const Error& error) {
+  m_tables[call->table].failing = true;
   LOG(INFO) << "event=relay_source_failed table=" << call->table
             << " attempt=" << call->attempts << " cause=\"" << error.message
             << "\"";
@@ -360,6 +356,7 @@
   answer.waited = now - arrived;
   answer.age = now - table.as_of;
   answer.reader = table.reader;
+  answer.failing = table.failing;
   return answer;
 }
 
--- a/Source/gateway/shared_row_store.h
+++ b/Source/gateway/shared_row_store.h
@@ -43,6 +43,12 @@
                  std::function<std::shared_ptr<const Members>()> members);
   ~SharedRowStore() override;
 
+  // Readings of `table` that are older than `max_age` are not accepted from
+  // members. kDefaultMaxAge applies if this is not called.
+  void SetMaxAge(const std::string& table, absl::Duration max_age) {
+    m_tables[table].max_age = max_age;
+  }
+
   // Only one call of ReadTable() or PollChanges() may run for a table at a
   // time.
   void ReadTable(const std::string& table,
@@ -67,6 +73,8 @@
   // Small enough that the parts which several followers fetch at once delay the
   // statements on a slow link by a fraction of a second.
   static constexpr size_t kFetchBytes = 8 << 10;
+  // A reader may need seconds to receive a large row over its link.
+  static constexpr absl::Duration kDefaultMaxAge = absl::Seconds(3);
 
  private:
   struct Follower {
@@ -84,7 +92,9 @@
     uint64_t complete_since = 0;
     uint64_t version = 0;
     absl::Time as_of = absl::InfinitePast();
-    InstanceId reader;  // The instance that made the newest reading.
+    absl::Duration max_age = kDefaultMaxAge;
+    InstanceId reader;     // The instance that made the newest reading.
+    bool failing = false;  // The latest attempt to learn of changes failed.
     RelayChoice choice;
     std::shared_ptr<const Members> planned_for;
     // Polls of the store that may be made at once, and when this was computed.
