--- a/Source/decision/relay_plan.cc
+++ b/Source/decision/relay_plan.cc
@@ -23,7 +23,7 @@
 constexpr size_t kUnresponsiveBeforeStore = 2;
 
 struct Ranked {
-  const RelayMember* member;
+  const FleetMember* member;
   uint64_t hash;
 
   // Lower values rank first.
@@ -58,13 +58,13 @@
 }  // namespace
 
 RelayPlan PlanRelay(const std::string& table,
-                    const std::vector<RelayMember>& members,
+                    const std::vector<FleetMember>& members,
                     const InstanceId& self) {
   RelayPlan plan;
   const uint64_t seed = StableHash(table);
   std::map<DataCentreName, std::vector<Ranked>> data_centres;
-  const RelayMember* own = nullptr;
-  for (const RelayMember& member : members) {
+  const FleetMember* own = nullptr;
+  for (const FleetMember& member : members) {
     data_centres[member.data_centre].push_back(
         {&member, StableHash(member.id, seed)});
     own = member.id == self ? &member : own;
--- a/Source/decision/relay_plan.h
+++ b/Source/decision/relay_plan.h
@@ -14,24 +14,17 @@
 #define SOURCE_DECISION_RELAY_PLAN_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "Source/base/types.h"
+#include "Source/decision/fleet_member.h"
 
 namespace heatherwick {
 
 // Members of the same data centre that follow one member.
 inline constexpr size_t kRelayFanOut = 6;
 
-struct RelayMember {
-  InstanceId id;
-  DataCentreName data_centre;
-  // Relative capacity; members with more of it are preferred as relays.
-  uint32_t capacity = 0;
-};
-
 // A source of a table's changes: another member, or the store itself if
 // `member` is empty.
 struct RelaySource {
@@ -53,7 +46,7 @@
 };
 
 RelayPlan PlanRelay(const std::string& table,
-                    const std::vector<RelayMember>& members,
+                    const std::vector<FleetMember>& members,
                     const InstanceId& self);
 
 }  // namespace heatherwick
--- /dev/null
+++ b/Source/gateway/borrowing_driver.cc
@@ -0,0 +1,319 @@
+// Sends the commands of a link to a lender, and chooses the lender.
+
+#include "Source/gateway/borrowing_driver.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "glog/logging.h"
+
+namespace heatherwick {
+namespace {
+
+// Longer than any statement's timeout, which the session watches itself.
+constexpr absl::Duration kRunTimeout = absl::Seconds(4);
+// A lender that failed is avoided for a time that doubles with each failure.
+constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(250);
+constexpr absl::Duration kLongestAvoidance = absl::Seconds(8);
+// Commands that no lender has run are offered to so many lenders.
+constexpr int kMaxOffers = 3;
+// A link that is closed while its lender has not answered for this long shows
+// that the lender may be gone.
+constexpr absl::Duration kSuspectAfter = absl::Milliseconds(180);
+
+}  // namespace
+
+// Commands that are sent together are run as a chain. Lives until its last call
+// has been answered, because a loan that arrives late must be returned.
+class BorrowingDriver::Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(BorrowingDriver* driver,
+       ListedTarget target,
+       std::function<void(Error)> on_close)
+      : m_driver(driver),
+        m_target(std::move(target)),
+        m_on_close(std::move(on_close)) {}
+
+  void Opened(const std::function<void(Result<Position>)>& on_open) {
+    if (!m_closed) {
+      on_open(Position());
+    }
+  }
+
+  void Send(TargetCommand command, ReplyHandler on_reply) {
+    m_queue.push_back({std::move(command), std::move(on_reply)});
+    if (!m_flush_scheduled) {
+      m_flush_scheduled = true;
+      m_driver->m_loop->Post([self = shared_from_this()]() {
+        self->m_flush_scheduled = false;
+        self->Flush();
+      });
+    }
+  }
+
+  void Close() {
+    m_closed = true;
+    m_on_close = nullptr;
+    m_queue.clear();
+    if (m_in_flight) {
+      if (m_driver->m_loop->Now() - m_sent > kSuspectAfter) {
+        m_driver->Avoid(m_lender, "no answer to a statement");
+      }
+    } else {
+      ReturnLoan();
+    }
+  }
+
+ private:
+  struct Entry {
+    TargetCommand command;
+    ReplyHandler on_reply;
+  };
+
+  void ReturnLoan() {
+    if (m_loan != 0) {
+      m_driver->m_transport->Return(m_lender.address, std::exchange(m_loan, 0));
+    }
+  }
+
+  void Flush() {
+    if (m_closed || m_in_flight || m_queue.empty()) {
+      return;
+    }
+    m_running = std::exchange(m_queue, {});
+    m_offers = 0;
+    Offer();
+  }
+
+  // Sends the running commands, to any lender if there is no loan.
+  void Offer() {
+    if (m_loan == 0) {
+      const std::optional<Lender> lender = m_driver->Choose(m_target.group);
+      if (!lender) {
+        Refuse("the group has no lender");
+        return;
+      }
+      m_lender = *lender;
+    }
+    ++m_offers;
+    m_in_flight = true;
+    m_sent = m_driver->m_loop->Now();
+    RunQuery query{m_target.group, m_target.id, m_loan, {}};
+    for (const Entry& entry : m_running) {
+      query.commands.push_back(entry.command);
+    }
+    m_driver->m_transport->Run(
+        m_lender.address, query, kRunTimeout,
+        [self = shared_from_this()](Result<RunResponse> answer) {
+          self->OnAnswer(std::move(answer));
+        });
+  }
+
+  void OnAnswer(Result<RunResponse> answer) {
+    m_in_flight = false;
+    if (!Ok(answer)) {
+      m_driver->Avoid(m_lender, ErrorOf(answer).message);
+      const bool not_run = ErrorOf(answer).kind == ErrorKind::kNotFound;
+      if (not_run && m_loan == 0) {
+        OfferAgain(ErrorOf(answer).message);
+      } else {
+        m_loan = 0;
+        Fail(ErrorOf(answer));
+      }
+      return;
+    }
+    RunResponse& response = ValueOf(answer);
+    switch (response.outcome) {
+      case RunOutcome::kDone:
+        m_driver->OnAnswered(m_lender);
+        m_loan = response.loan;
+        Deliver(std::move(response.replies));
+        return;
+      case RunOutcome::kRefused:
+        if (m_loan == 0) {
+          m_driver->Avoid(m_lender, response.cause);
+          OfferAgain(response.cause);
+        } else {
+          // The lender has rolled the transaction back.
+          m_loan = 0;
+          Refuse(response.cause);
+        }
+        return;
+      case RunOutcome::kConnectionLost:
+        m_loan = 0;
+        Fail({ErrorKind::kUnavailable, response.cause, "check the target"});
+        return;
+    }
+  }
+
+  void OfferAgain(const std::string& cause) {
+    if (m_closed) {
+      return;
+    }
+    if (m_offers < kMaxOffers) {
+      Offer();
+    } else {
+      Refuse(cause);
+    }
+  }
+
+  void Deliver(std::vector<Reply> replies) {
+    std::deque<Entry> answered = std::exchange(m_running, {});
+    for (size_t index = 0; index < std::min(replies.size(), answered.size());
+         ++index) {
+      if (!m_closed) {
+        answered[index].on_reply(std::move(replies[index]));
+      }
+    }
+    if (m_closed) {
+      ReturnLoan();
+      return;
+    }
+    Flush();
+  }
+
+  // Answers the first of the running commands, of which none has run.
+  void Refuse(const std::string& cause) {
+    Reply reply;
+    reply.code = ReplyCode::kBusy;
+    reply.error_text = absl::StrCat("no lender ran the statement: ", cause);
+    Deliver({std::move(reply)});
+  }
+
+  void Fail(const Error& error) {
+    m_running.clear();
+    m_queue.clear();
+    const auto on_close = std::exchange(m_on_close, nullptr);
+    m_closed = true;
+    if (on_close) {
+      on_close(error);
+    }
+  }
+
+  BorrowingDriver* const m_driver;
+  const ListedTarget m_target;
+  std::function<void(Error)> m_on_close;
+  std::deque<Entry> m_queue;    // Not sent yet.
+  std::deque<Entry> m_running;  // Sent and not answered.
+  bool m_flush_scheduled = false;
+  bool m_in_flight = false;
+  bool m_closed = false;
+  int m_offers = 0;
+  absl::Time m_sent;
+  Lender m_lender;      // Of the loan or of the latest offer.
+  uint64_t m_loan = 0;  // Not 0 while a transaction is open.
+};
+
+namespace {
+
+// Owned by a target connection.
+template <typename Link>
+class BorrowedLink : public TargetLink {
+ public:
+  explicit BorrowedLink(std::shared_ptr<Link> link) : m_link(std::move(link)) {}
+  ~BorrowedLink() override { m_link->Close(); }
+
+  void Send(TargetCommand command, ReplyHandler on_reply) override {
+    m_link->Send(std::move(command), std::move(on_reply));
+  }
+  void Close() override { m_link->Close(); }
+  bool Borrowed() const override { return true; }
+
+ private:
+  const std::shared_ptr<Link> m_link;
+};
+
+}  // namespace
+
+BorrowingDriver::BorrowingDriver(EventLoop* loop,
+                                 TargetDriver* direct,
+                                 LendingTransport* transport)
+    : m_loop(loop), m_direct(direct), m_transport(transport) {}
+
+void BorrowingDriver::SetLenders(const GroupName& group,
+                                 std::vector<Lender> lenders) {
+  m_lenders[group] = std::move(lenders);
+}
+
+bool BorrowingDriver::Borrows(const GroupName& group) const {
+  const auto lenders = m_lenders.find(group);
+  return lenders != m_lenders.end() && !lenders->second.empty();
+}
+
+std::unique_ptr<TargetLink> BorrowingDriver::Open(
+    const ListedTarget& target,
+    std::function<void(Result<Position>)> on_open,
+    std::function<void(Error)> on_close) {
+  if (!Borrows(target.group)) {
+    return OpenDirect(target, std::move(on_open), std::move(on_close));
+  }
+  auto link = std::make_shared<Link>(this, target, std::move(on_close));
+  m_loop->Post(
+      [link, on_open = std::move(on_open)]() { link->Opened(on_open); });
+  return std::make_unique<BorrowedLink<Link>>(std::move(link));
+}
+
+std::unique_ptr<TargetLink> BorrowingDriver::OpenDirect(
+    const ListedTarget& target,
+    std::function<void(Result<Position>)> on_open,
+    std::function<void(Error)> on_close) {
+  return m_direct->Open(target, std::move(on_open), std::move(on_close));
+}
+
+std::optional<TargetStatus> BorrowingDriver::ParseStatus(const Reply& reply) {
+  return m_direct->ParseStatus(reply);
+}
+
+void BorrowingDriver::QueryPosition(
+    const GroupName& group,
+    absl::Duration timeout,
+    std::function<void(Result<LenderPosition>)> done) {
+  const std::optional<Lender> lender = Choose(group);
+  if (!lender) {
+    m_loop->Post([done = std::move(done)]() {
+      done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
+    });
+    return;
+  }
+  m_transport->QueryPosition(lender->address, group, timeout, std::move(done));
+}
+
+std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
+    const GroupName& group) const {
+  const auto lenders = m_lenders.find(group);
+  if (lenders == m_lenders.end()) {
+    return std::nullopt;
+  }
+  const absl::Time now = m_loop->Now();
+  std::optional<Lender> chosen;
+  absl::Time chosen_until;
+  for (const Lender& lender : lenders->second) {
+    const auto avoided = m_avoided.find(lender.id);
+    if (avoided == m_avoided.end() || now >= avoided->second.until) {
+      return lender;
+    }
+    if (!chosen || avoided->second.until < chosen_until) {
+      chosen = lender;
+      chosen_until = avoided->second.until;
+    }
+  }
+  return chosen;
+}
+
+void BorrowingDriver::Avoid(const Lender& lender, const std::string& cause) {
+  const absl::Time now = m_loop->Now();
+  Avoided& avoided = m_avoided[lender.id];
+  if (now < avoided.until) {
+    return;
+  }
+  avoided.duration =
+      std::clamp(2 * avoided.duration, kFirstAvoidance, kLongestAvoidance);
+  avoided.until = now + avoided.duration;
+  LOG(INFO) << "event=lender_avoided lender=" << lender.id
+            << " ms=" << absl::ToInt64Milliseconds(avoided.duration)
+            << " cause=\"" << cause << "\"";
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/gateway/borrowing_driver.h
@@ -0,0 +1,76 @@
+// A target driver whose links borrow a connection from a lender for each
+// statement or transaction, where the target has too few connections for each
+// instance. See lender_plan.h.
+
+#ifndef SOURCE_GATEWAY_BORROWING_DRIVER_H_
+#define SOURCE_GATEWAY_BORROWING_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Source/decision/lender_plan.h"
+#include "Source/gateway/event_loop.h"
+#include "Source/gateway/lending.h"
+#include "Source/gateway/target_link.h"
+#include "absl/time/time.h"
+
+namespace heatherwick {
+
+class BorrowingDriver : public TargetDriver {
+ public:
+  struct Lender {
+    InstanceId id;
+    std::string address;
+  };
+
+  BorrowingDriver(EventLoop* loop,
+                  TargetDriver* direct,
+                  LendingTransport* transport);
+
+  // The lenders of a group in order of preference; empty if this instance has
+  // connections of its own.
+  void SetLenders(const GroupName& group, std::vector<Lender> lenders);
+  bool Borrows(const GroupName& group) const;
+
+  std::unique_ptr<TargetLink> Open(
+      const ListedTarget& target,
+      std::function<void(Result<Position>)> on_open,
+      std::function<void(Error)> on_close) override;
+  std::unique_ptr<TargetLink> OpenDirect(
+      const ListedTarget& target,
+      std::function<void(Result<Position>)> on_open,
+      std::function<void(Error)> on_close) override;
+  std::optional<TargetStatus> ParseStatus(const Reply& reply) override;
+
+  // Asks a lender for the newest known position of the group's primary.
+  void QueryPosition(const GroupName& group,
+                     absl::Duration timeout,
+                     std::function<void(Result<LenderPosition>)> done);
+
+ private:
+  class Link;
+  struct Avoided {
+    absl::Time until = absl::InfinitePast();
+    absl::Duration duration;
+  };
+
+  // The preferred lender that is not avoided. If all are, the one whose
+  // avoidance ends first. Nothing if the group has none.
+  std::optional<Lender> Choose(const GroupName& group) const;
+  void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
+  void Avoid(const Lender& lender, const std::string& cause);
+
+  EventLoop* const m_loop;
+  TargetDriver* const m_direct;
+  LendingTransport* const m_transport;
+  std::map<GroupName, std::vector<Lender>> m_lenders;
+  std::map<InstanceId, Avoided> m_avoided;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_GATEWAY_BORROWING_DRIVER_H_
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -297,12 +297,13 @@
                   [this](const auto& existing) {
                     return !m_values.contains(existing.first);
                   });
-  if (has_extra_values && !m_begun_at_target) {
+  if ((has_extra_values || m_connection->needs_reset) && !m_begun_at_target) {
     TargetCommand reset;
     reset.kind = StatementKind::kReset;
     setup.push_back(reset);
     m_connection->values.clear();
     m_connection->prepared.clear();
+    m_connection->needs_reset = false;
   }
   for (const auto& [name, value] : m_values) {
     std::string& existing = m_connection->values[name];
@@ -329,16 +330,19 @@
     ContinueAfterSetup(0);
     return;
   }
-  // The statement is sent after every setup command has succeeded.
+  // The statement is sent after every setup command has succeeded. On a
+  // borrowed connection it is sent at once, as it runs only then.
+  const bool chained = m_connection->link->Borrowed();
   auto pending = std::make_shared<size_t>(setup.size());
   for (TargetCommand& command : setup) {
     pool->Send(
         m_connection, std::move(command),
-        [this, pending, alive = m_alive](const Reply& reply) {
+        [this, pending, chained, alive = m_alive](const Reply& reply) {
           if (!*alive || !m_request || m_connection == nullptr) {
             return;
           }
           if (reply.code != ReplyCode::kComplete) {
+            m_statement_sent = false;
             OnConnectionLost(Error{ErrorKind::kUnavailable,
                                    absl::StrCat("the target refused to set up "
                                                 "the session: ",
@@ -346,9 +350,14 @@
                                    ""});
             return;
           }
-          ContinueAfterSetup(--*pending);
+          if (!chained) {
+            ContinueAfterSetup(--*pending);
+          }
         });
   }
+  if (chained) {
+    ContinueAfterSetup(0);
+  }
 }
 
 void CallerSession::ContinueAfterSetup(size_t pending) {
@@ -367,18 +376,25 @@
   command.kind =
       m_read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
   command.required_position = m_required_position;
+  const bool chained = m_connection->link->Borrowed();
   m_connection->pool->Send(
-      m_connection, command, [this, alive = m_alive](const Reply& reply) {
+      m_connection, command,
+      [this, chained, alive = m_alive](const Reply& reply) {
         if (!*alive || !m_request || m_connection == nullptr) {
           return;
         }
-        if (reply.code == ReplyCode::kComplete) {
-          m_begun_at_target = true;
-          SendStatement();
-        } else {
+        if (reply.code != ReplyCode::kComplete) {
           OnNotRun(reply);
+          return;
+        }
+        m_begun_at_target = true;
+        if (!chained) {
+          SendStatement();
         }
       });
+  if (chained) {
+    SendStatement();
+  }
 }
 
 void CallerSession::SendStatement() {
@@ -486,6 +502,9 @@
       absl::StrCat("target ", pool->Target().id, " replied ",
                    ReplyCodeName(reply.code), " ", reply.error_text);
   m_statement_sent = false;
+  if (!m_begun_at_target) {
+    m_wrote = false;
+  }
   if (reply.code == ReplyCode::kLagging && m_required_position) {
     pool->MarkLagging(*m_required_position, now + kLaggingRetryDelay);
   }
@@ -525,6 +544,7 @@
 void CallerSession::Requeue(const std::string& cause) {
   TargetRequest& request = *m_request;
   request.last_failure = cause;
+  m_slow_read_timer.reset();
   if (request.attempts >= kMaxAttempts) {
     Refuse(ReplyCode::kBusy, cause);
     return;
--- /dev/null
+++ b/Source/gateway/connection_lender.cc
@@ -0,0 +1,242 @@
+// Queues requests for connections, runs commands on lent connections, and takes
+// the connections back.
+
+#include "Source/gateway/connection_lender.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace heatherwick {
+namespace {
+
+// A borrower that waits longer is refused, so that it can ask another lender.
+constexpr absl::Duration kMaxWait = absl::Milliseconds(250);
+// With more requests waiting for a target, a new one is refused at once.
+constexpr size_t kMaxWaiting = 64;
+// Connections that are opened at the same time.
+constexpr size_t kMaxOpening = 2;
+// The upper bits of a loan's number identify the run of the instance.
+constexpr int kIncarnationShift = 32;
+
+bool OpensSessionState(StatementKind kind) {
+  return kind == StatementKind::kSet || kind == StatementKind::kPrepareRead ||
+         kind == StatementKind::kPrepareWrite;
+}
+
+}  // namespace
+
+ConnectionLender::ConnectionLender(EventLoop* loop,
+                                   uint64_t incarnation,
+                                   FindPool find_pool)
+    : m_loop(loop),
+      m_find_pool(std::move(find_pool)),
+      m_next_loan((incarnation << kIncarnationShift) + 1) {}
+
+ConnectionLender::~ConnectionLender() {
+  *m_alive = false;
+}
+
+void ConnectionLender::Refuse(const Answer& answer, const std::string& cause) {
+  RunResponse response;
+  response.outcome = RunOutcome::kRefused;
+  response.cause = cause;
+  answer(std::move(response));
+}
+
+void ConnectionLender::OnRun(RunQuery query, Answer answer) {
+  if (query.commands.empty()) {
+    Refuse(answer, "the request has no commands");
+    return;
+  }
+  if (query.loan != 0) {
+    const auto loan = m_loans.find(query.loan);
+    if (loan == m_loans.end() || loan->second.answer) {
+      Refuse(answer, "the loan has ended or is in use");
+      return;
+    }
+    const uint64_t id = query.loan;
+    loan->second.query = std::move(query);
+    loan->second.next = 0;
+    loan->second.replies.clear();
+    loan->second.answer = std::move(answer);
+    RunNext(id);
+    return;
+  }
+  if (m_draining) {
+    Refuse(answer, "the lender is stopping");
+    return;
+  }
+  const PoolKey key(query.group, query.target);
+  if (m_find_pool(query.group, query.target) == nullptr) {
+    Refuse(answer, "this instance does not lend connections to the target");
+    return;
+  }
+  std::list<Request>& waiting = m_waiting[key];
+  if (waiting.size() >= kMaxWaiting) {
+    Refuse(answer, "too many requests wait for a connection");
+    return;
+  }
+  waiting.push_back({std::move(query), std::move(answer), nullptr});
+  const auto request = std::prev(waiting.end());
+  request->wait_timer = m_loop->RunAfter(kMaxWait, [this, key, request]() {
+    const Answer refused = std::move(request->answer);
+    m_waiting[key].erase(request);
+    Refuse(refused, "no connection was free in time");
+  });
+  Serve(key);
+}
+
+void ConnectionLender::OnPoolChanged(const TargetPool* pool) {
+  Serve({pool->Target().group, pool->Target().id});
+}
+
+void ConnectionLender::Serve(const PoolKey& key) {
+  const auto waiting = m_waiting.find(key);
+  if (waiting == m_waiting.end() || waiting->second.empty()) {
+    return;
+  }
+  TargetPool* const pool = m_find_pool(key.first, key.second);
+  while (pool != nullptr && !waiting->second.empty()) {
+    TargetConnection* const connection = pool->Acquire({});
+    if (connection == nullptr) {
+      pool->EnsureOpening(std::min(kMaxOpening, waiting->second.size()));
+      return;
+    }
+    Request request = std::move(waiting->second.front());
+    waiting->second.pop_front();
+    StartLoan(connection, std::move(request));
+  }
+}
+
+void ConnectionLender::StartLoan(TargetConnection* connection,
+                                 Request request) {
+  const uint64_t id = m_next_loan++;
+  Loan& loan = m_loans[id];
+  loan.connection = connection;
+  loan.query = std::move(request.query);
+  loan.answer = std::move(request.answer);
+  connection->on_lost = [this, id](const Error& error) {
+    OnConnectionLost(id, error);
+  };
+  if (connection->needs_reset || !connection->values.empty() ||
+      !connection->prepared.empty()) {
+    Reset(id);
+  } else {
+    RunNext(id);
+  }
+}
+
+void ConnectionLender::Reset(uint64_t id) {
+  TargetConnection* const connection = m_loans.at(id).connection;
+  connection->values.clear();
+  connection->prepared.clear();
+  connection->needs_reset = false;
+  TargetCommand reset;
+  reset.kind = StatementKind::kReset;
+  connection->pool->Send(
+      connection, reset, [this, id, alive = m_alive](const Reply& reply) {
+        if (!*alive || !m_loans.contains(id)) {
+          return;
+        }
+        if (reply.code == ReplyCode::kComplete) {
+          RunNext(id);
+          return;
+        }
+        Loan loan = std::move(m_loans.at(id));
+        m_loans.erase(id);
+        loan.connection->pool->CloseAndNotify(loan.connection);
+        Refuse(loan.answer, "the target refused to reset the connection");
+      });
+}
+
+void ConnectionLender::RunNext(uint64_t id) {
+  Loan& loan = m_loans.at(id);
+  const TargetCommand& command = loan.query.commands[loan.next];
+  ++loan.next;
+  loan.connection->needs_reset |= OpensSessionState(command.kind);
+  loan.connection->pool->Send(loan.connection, command,
+                              [this, id, alive = m_alive](Reply reply) {
+                                if (*alive && m_loans.contains(id)) {
+                                  OnReply(id, std::move(reply));
+                                }
+                              });
+}
+
+void ConnectionLender::OnReply(uint64_t id, Reply reply) {
+  Loan& loan = m_loans.at(id);
+  const bool failed = reply.code != ReplyCode::kComplete;
+  loan.replies.push_back(std::move(reply));
+  if (failed || loan.next == loan.query.commands.size()) {
+    Finish(id);
+  } else {
+    RunNext(id);
+  }
+}
+
+void ConnectionLender::Finish(uint64_t id) {
+  Loan& loan = m_loans.at(id);
+  RunResponse response;
+  response.replies = std::move(loan.replies);
+  const Answer answer = std::exchange(loan.answer, nullptr);
+  const bool idle = response.replies.back().state == TransactionState::kIdle;
+  TargetConnection* const connection = loan.connection;
+  if (idle || loan.returned) {
+    m_loans.erase(id);
+    if (idle) {
+      connection->pool->Release(connection);
+    } else {
+      connection->pool->CloseAndNotify(connection);
+    }
+  } else {
+    response.loan = id;
+    loan.last_used = m_loop->Now();
+  }
+  answer(std::move(response));
+}
+
+void ConnectionLender::OnConnectionLost(uint64_t id, const Error& error) {
+  const auto found = m_loans.find(id);
+  if (found == m_loans.end()) {
+    return;
+  }
+  Loan loan = std::move(found->second);
+  m_loans.erase(found);
+  if (!loan.answer) {
+    return;
+  }
+  RunResponse response;
+  response.outcome = RunOutcome::kConnectionLost;
+  response.replies = std::move(loan.replies);
+  response.cause = error.message;
+  loan.answer(std::move(response));
+}
+
+void ConnectionLender::OnReturn(uint64_t loan) {
+  const auto found = m_loans.find(loan);
+  if (found == m_loans.end()) {
+    return;
+  }
+  if (found->second.answer) {
+    found->second.returned = true;
+    return;
+  }
+  TargetConnection* const connection = found->second.connection;
+  m_loans.erase(found);
+  connection->pool->CloseAndNotify(connection);
+}
+
+void ConnectionLender::EndIdleLoans(absl::Duration idle_limit) {
+  const absl::Time now = m_loop->Now();
+  std::vector<uint64_t> idle;
+  for (const auto& [id, loan] : m_loans) {
+    if (!loan.answer && now - loan.last_used > idle_limit) {
+      idle.push_back(id);
+    }
+  }
+  for (const uint64_t id : idle) {
+    OnReturn(id);
+  }
+}
+
+}  // namespace heatherwick
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -39,6 +39,15 @@
 // Maximum connections of one instance to one target if the connection limit is
 // lower than the number of instances.
 constexpr size_t kOnDemandConnections = 2;
+// Statements and transactions of one instance that borrow from a target's
+// lenders at the same time. The lenders queue them.
+constexpr size_t kBorrowedConnections = 32;
+// A lender refreshes a position that is older than this when it is asked.
+constexpr absl::Duration kLenderPositionAge = absl::Milliseconds(400);
+constexpr absl::Duration kLenderPositionTimeout = absl::Milliseconds(150);
+// Loans of borrowers that ended without returning them are ended this long
+// after the limit for idle transactions.
+constexpr absl::Duration kIdleLoanMargin = absl::Seconds(1);
 // Expected additional latency of a target in another data centre.
 constexpr absl::Duration kRemoteLatencyPenalty = absl::Milliseconds(4);
 // Multiplies the primary's score so that reads prefer replicas.
@@ -67,6 +76,11 @@
   m_leadership = leadership;
 }
 
+void Gateway::SetLending(BorrowingDriver* borrowing, ConnectionLender* lender) {
+  m_borrowing = borrowing;
+  m_lender = lender;
+}
+
 void Gateway::Start() {
   Tick();
 }
@@ -152,11 +166,19 @@
                              ? 1
                              : settings->second.max_connections;
     const size_t share = limit / kShareDivisor / members;
+    if (m_borrowing != nullptr) {
+      UpdateLenders(name, &group, limit);
+    }
     // When there are fewer connections than instances, each instance opens one
-    // only for a statement and closes it soon after.
-    group.on_demand = limit < members;
+    // only for a statement and closes it soon after, or borrows one.
+    group.on_demand = limit < members && !group.lends;
     for (auto& [id, pool] : group.pools) {
-      if (group.on_demand) {
+      if (group.lends) {
+        pool->SetLimits(group.lender_plan.connections,
+                        group.lender_plan.connections);
+      } else if (group.borrows) {
+        pool->SetLimits(0, kBorrowedConnections);
+      } else if (group.on_demand) {
         pool->SetLimits(0, kOnDemandConnections);
       } else {
         pool->SetLimits(std::max<size_t>(1, share),
@@ -166,6 +188,60 @@
   }
 }
 
+void Gateway::UpdateLenders(const GroupName& name, Group* group, size_t limit) {
+  const LeadershipView& view = m_leadership->View();
+  if (group->planned_limit == limit &&
+      group->planned_revision == view.MembersRevision()) {
+    return;
+  }
+  group->planned_limit = limit;
+  group->planned_revision = view.MembersRevision();
+  std::vector<FleetMember> members;
+  for (const auto& [id, member] : view.Members()) {
+    members.push_back({id, member.data_centre, member.capacity});
+  }
+  group->lender_plan = PlanLenders(name, members, limit, m_leadership->Self());
+  const LenderPlan& plan = group->lender_plan;
+  group->lends = plan.self_lends;
+  group->borrows = !plan.lenders.empty() && !plan.self_lends;
+  std::vector<BorrowingDriver::Lender> lenders;
+  if (group->borrows) {
+    for (const InstanceId& id : plan.lenders) {
+      lenders.push_back({id, view.Members().at(id).peer_address});
+    }
+  }
+  m_borrowing->SetLenders(name, std::move(lenders));
+}
+
+TargetPool* Gateway::PoolToLend(const GroupName& group,
+                                const TargetId& target) {
+  const auto found = m_groups.find(group);
+  if (found == m_groups.end() || !found->second.lends) {
+    return nullptr;
+  }
+  const auto pool = found->second.pools.find(target);
+  return pool == found->second.pools.end() ? nullptr : pool->second.get();
+}
+
+LenderPosition Gateway::NewestPosition(const GroupName& group) {
+  const auto found = m_groups.find(group);
+  const GroupLeader& leader = m_leadership->View().Leader(group);
+  if (found == m_groups.end() || leader.phase != LeaderPhase::kOpen) {
+    return {};
+  }
+  const absl::Time now = m_loop->Now();
+  const absl::Time newest = found->second.position_history.NewestSendTime();
+  if (now - newest > kLenderPositionAge) {
+    RefreshPositionHistory(group, &found->second);
+  }
+  const std::optional<Position> position =
+      found->second.position_history.LowestPositionCovering(newest);
+  if (!position) {
+    return {};
+  }
+  return {leader.epoch, *position, now - newest};
+}
+
 // --- Sessions ----------------------------------------------------------------
 
 void Gateway::AddSession(CallerSession* session) {
@@ -178,6 +254,9 @@
 }
 
 void Gateway::BeginDrain() {
+  if (m_lender != nullptr) {
+    m_lender->BeginDrain();
+  }
   m_draining = true;
 }
 
@@ -249,6 +328,9 @@
 // --- Dispatch ----------------------------------------------------------------
 
 void Gateway::OnPoolChanged(TargetPool* pool) {
+  if (m_lender != nullptr) {
+    m_lender->OnPoolChanged(pool);
+  }
   ScheduleDispatch(pool->Target().group);
 }
 
@@ -322,7 +404,8 @@
     RefreshPositionHistory(name, group);
   }
   if (!covering_position) {
-    return TryServeAtPrimary(name, group, session);
+    return !AwaitLenderPosition(name, group) &&
+           TryServeAtPrimary(name, group, session);
   }
   Position required = *covering_position;
   if (request.route.consistency == Consistency::kReadYourWrites) {
@@ -422,6 +505,36 @@
       });
 }
 
+bool Gateway::AwaitLenderPosition(const GroupName& name, Group* group) {
+  const absl::Time sent = m_loop->Now();
+  if (!group->borrows || group->refresh_in_progress) {
+    return group->borrows;
+  }
+  if (sent < group->last_refresh + kRefreshInterval) {
+    return false;
+  }
+  group->refresh_in_progress = true;
+  group->last_refresh = sent;
+  m_borrowing->QueryPosition(
+      name, kLenderPositionTimeout,
+      [this, name, sent,
+       alive = m_alive](const Result<LenderPosition>& answer) {
+        if (!*alive) {
+          return;
+        }
+        Group& asked = m_groups[name];
+        asked.refresh_in_progress = false;
+        if (Ok(answer) && ValueOf(answer).epoch > 0 &&
+            ValueOf(answer).epoch == m_leadership->View().Leader(name).epoch) {
+          // The answer was made after the query was sent.
+          asked.position_history.Add(sent - ValueOf(answer).age,
+                                     ValueOf(answer).position);
+        }
+        ScheduleDispatch(name);
+      });
+  return true;
+}
+
 // --- Periodic tasks ----------------------------------------------------------
 
 void Gateway::Tick() {
@@ -430,6 +543,9 @@
   for (auto& [name, group] : m_groups) {
     TickGroup(name, &group);
   }
+  if (m_lender != nullptr) {
+    m_lender->EndIdleLoans(IdleTransactionTimeout() + kIdleLoanMargin);
+  }
   const absl::Time now = m_loop->Now();
   const bool lease_lost = !m_leadership->LeaseValid();
   for (CallerSession* session : std::set(m_sessions)) {
@@ -460,7 +576,8 @@
 void Gateway::TickGroup(const GroupName& name, Group* group) {
   const absl::Time now = m_loop->Now();
   TargetPool* const primary = PrimaryPool(name);
-  if (primary != nullptr &&
+  // A borrower cannot tell a silent primary from a silent lender.
+  if (primary != nullptr && !group->borrows &&
       (primary->OpeningFails() ||
        now - primary->OldestUnansweredTime() > kPrimarySilenceTimeout) &&
       now - primary->LastContact() > kPrimarySilenceTimeout) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -15,8 +15,10 @@
 
 #include "Source/base/decision_log.h"
 #include "Source/base/metrics.h"
+#include "Source/gateway/borrowing_driver.h"
 #include "Source/gateway/caller_session.h"
 #include "Source/gateway/configuration.h"
+#include "Source/gateway/connection_lender.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/leadership_manager.h"
 #include "Source/gateway/primary_position_history.h"
@@ -34,6 +36,9 @@
   ~Gateway() override;
 
   void SetLeadership(LeadershipManager* leadership);
+  // Shares the connections of groups whose targets have too few for each
+  // instance. Without this, such groups get a connection for each statement.
+  void SetLending(BorrowingDriver* borrowing, ConnectionLender* lender);
   void Start();
 
   // Applies the configuration if its version is newer than the current one.
@@ -56,6 +61,11 @@
   void EndTransactions(const std::string& cause);
   size_t Sessions() const { return m_sessions.size(); }
 
+  // The pool of a target whose connections this instance lends, or null.
+  TargetPool* PoolToLend(const GroupName& group, const TargetId& target);
+  // The newest position of the group's primary that this instance knows.
+  LenderPosition NewestPosition(const GroupName& group);
+
   // The functions below are called by sessions.
 
   void AddSession(CallerSession* session);
@@ -105,6 +115,13 @@
     // Connections are opened for a statement and closed soon after, because
     // there are too few for each instance to keep one.
     bool on_demand = false;
+    // The group's connections are borrowed from its lenders, or lent to others.
+    bool borrows = false;
+    bool lends = false;
+    LenderPlan lender_plan;
+    // Members and limit for which lender_plan was made.
+    uint64_t planned_revision = 0;
+    size_t planned_limit = 0;
     bool refresh_in_progress = false;
     absl::Time last_refresh = absl::InfinitePast();
     bool dispatch_scheduled = false;
@@ -115,6 +132,7 @@
   void Tick();
   void TickGroup(const GroupName& name, Group* group);
   void UpdateLimits();
+  void UpdateLenders(const GroupName& name, Group* group, size_t limit);
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
   void ServeWaiting(const GroupName& name, Group* group, bool overdue);
@@ -131,6 +149,8 @@
                std::optional<Position> required,
                bool at_primary);
   void RefreshPositionHistory(const GroupName& name, Group* group);
+  // Asks a lender for a position. Returns true while its answer is awaited.
+  bool AwaitLenderPosition(const GroupName& name, Group* group);
   void CheckQuiesced(const GroupName& name, Group* group);
   TargetPool* PrimaryPool(const GroupName& name);
   size_t WaitingCount(const Group& group) const { return group.waiting.size(); }
@@ -141,6 +161,8 @@
   Metrics* const m_metrics;
   DecisionLog* const m_decisions;
   LeadershipManager* m_leadership = nullptr;
+  BorrowingDriver* m_borrowing = nullptr;
+  ConnectionLender* m_lender = nullptr;
   Configuration m_configuration;
   std::map<GroupName, Group> m_groups;
   std::set<CallerSession*> m_sessions;
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -23,9 +23,76 @@
 constexpr int kMaxReconnectBackoffMs = 300;
 // Requesters of the first version do not tell how long they wait.
 constexpr absl::Duration kDefaultFollowWait = absl::Milliseconds(600);
+// The lender ends a loan by itself if it does not hear of its return.
+constexpr absl::Duration kReturnTimeout = absl::Seconds(1);
 // Longer than the timeout of any call.
 constexpr absl::Duration kRetiredChannelLifetime = absl::Seconds(10);
 
+proto::LentCommand ToMessage(const TargetCommand& command) {
+  proto::LentCommand message;
+  message.set_id(command.id);
+  message.set_kind(static_cast<uint32_t>(command.kind));
+  message.set_text(command.text);
+  message.set_name(command.name);
+  message.set_argument(command.argument);
+  if (command.required_position) {
+    message.set_required_term(command.required_position->term);
+    message.set_required_lsn(command.required_position->lsn);
+  }
+  return message;
+}
+
+// Returns nothing if the message names a kind that this version does not know.
+std::optional<TargetCommand> ToCommand(const proto::LentCommand& message) {
+  if (message.kind() > static_cast<uint32_t>(StatementKind::kStatus)) {
+    return std::nullopt;
+  }
+  TargetCommand command;
+  command.id = message.id();
+  command.kind = static_cast<StatementKind>(message.kind());
+  command.text = message.text();
+  command.name = message.name();
+  command.argument = message.argument();
+  if (message.has_required_term()) {
+    command.required_position =
+        Position{message.required_term(), message.required_lsn()};
+  }
+  return command;
+}
+
+void FillReply(const Reply& reply, proto::LentReply* message) {
+  message->set_code(static_cast<uint32_t>(reply.code));
+  message->mutable_rows()->Add(reply.rows.begin(), reply.rows.end());
+  message->set_signature(reply.signature);
+  message->set_error_code(reply.error_code);
+  message->set_error_text(reply.error_text);
+  message->set_state(static_cast<uint32_t>(reply.state));
+  if (reply.position) {
+    message->set_term(reply.position->term);
+    message->set_lsn(reply.position->lsn);
+  }
+}
+
+Reply ToReply(const proto::LentReply& message) {
+  Reply reply;
+  // An unknown code may mean that the statement has run.
+  reply.code = message.code() <= static_cast<uint32_t>(ReplyCode::kOther)
+                   ? static_cast<ReplyCode>(message.code())
+                   : ReplyCode::kOther;
+  reply.rows = {message.rows().begin(), message.rows().end()};
+  reply.signature = message.signature();
+  reply.error_code = message.error_code();
+  reply.error_text = message.error_text();
+  reply.state =
+      message.state() <= static_cast<uint32_t>(TransactionState::kFailed)
+          ? static_cast<TransactionState>(message.state())
+          : TransactionState::kFailed;
+  if (message.has_term()) {
+    reply.position = Position{message.term(), message.lsn()};
+  }
+  return reply;
+}
+
 void FillRow(const StoredRow& row, proto::LeaderRow* leader) {
   leader->set_key(row.key);
   leader->set_value(row.value);
@@ -114,6 +181,63 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* Run(grpc::CallbackServerContext* context,
+                                const proto::RunRequest* request,
+                                proto::RunReply* reply) override {
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    m_loop->Post([this, request, reply, reactor]() {
+      RunQuery query{request->group(), request->target(), request->loan(), {}};
+      for (const proto::LentCommand& message : request->commands()) {
+        std::optional<TargetCommand> command = ToCommand(message);
+        if (!command) {
+          reply->set_outcome(proto::RunReply::REFUSED);
+          reply->set_cause("this version does not know a command's kind");
+          reactor->Finish(grpc::Status::OK);
+          return;
+        }
+        query.commands.push_back(std::move(*command));
+      }
+      m_responders->run(
+          std::move(query), [reply, reactor](const RunResponse& response) {
+            for (const Reply& answered : response.replies) {
+              heatherwick::FillReply(answered, reply->add_replies());
+            }
+            reply->set_outcome(
+                static_cast<proto::RunReply::Outcome>(response.outcome));
+            reply->set_loan(response.loan);
+            reply->set_cause(response.cause);
+            reactor->Finish(grpc::Status::OK);
+          });
+    });
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* Return(grpc::CallbackServerContext* context,
+                                   const proto::ReturnRequest* request,
+                                   proto::ReturnReply*) override {
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    m_loop->Post([this, request, reactor]() {
+      m_responders->end_loan(request->loan());
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
+  grpc::ServerUnaryReactor* Position(grpc::CallbackServerContext* context,
+                                     const proto::PositionRequest* request,
+                                     proto::PositionReply* reply) override {
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    m_loop->Post([this, request, reply, reactor]() {
+      const LenderPosition answer = m_responders->position(request->group());
+      reply->set_epoch(answer.epoch);
+      reply->set_term(answer.position.term);
+      reply->set_lsn(answer.position.lsn);
+      reply->set_age_us(absl::ToInt64Microseconds(answer.age));
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
  private:
   static void FillReply(const FollowResponse& answer,
                         proto::FollowReply* reply) {
@@ -347,4 +471,79 @@
       });
 }
 
+void GrpcPeerTransport::Run(const std::string& address,
+                            const RunQuery& query,
+                            absl::Duration timeout,
+                            std::function<void(Result<RunResponse>)> done) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::RunRequest*,
+                      proto::RunReply*, std::function<void(grpc::Status)>);
+  proto::RunRequest request;
+  request.set_group(query.group);
+  request.set_target(query.target);
+  request.set_loan(query.loan);
+  for (const TargetCommand& command : query.commands) {
+    *request.add_commands() = ToMessage(command);
+  }
+  Start<proto::RunRequest, proto::RunReply>(
+      address, static_cast<Method>(&Async::Run), std::move(request), timeout,
+      [done = std::move(done)](const Result<proto::RunReply>& result) {
+        if (!Ok(result)) {
+          done(ErrorOf(result));
+          return;
+        }
+        const proto::RunReply& reply = ValueOf(result);
+        RunResponse response;
+        response.outcome = static_cast<RunOutcome>(reply.outcome());
+        if (!proto::RunReply::Outcome_IsValid(reply.outcome())) {
+          response.outcome = RunOutcome::kConnectionLost;
+        }
+        for (const proto::LentReply& message : reply.replies()) {
+          response.replies.push_back(ToReply(message));
+        }
+        response.loan = reply.loan();
+        response.cause = reply.cause();
+        done(std::move(response));
+      });
+}
+
+void GrpcPeerTransport::Return(const std::string& address, uint64_t loan) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::ReturnRequest*,
+                      proto::ReturnReply*, std::function<void(grpc::Status)>);
+  proto::ReturnRequest request;
+  request.set_loan(loan);
+  Start<proto::ReturnRequest, proto::ReturnReply>(
+      address, static_cast<Method>(&Async::Return), std::move(request),
+      kReturnTimeout, [](const Result<proto::ReturnReply>&) {});
+}
+
+void GrpcPeerTransport::QueryPosition(
+    const std::string& address,
+    const GroupName& group,
+    absl::Duration timeout,
+    std::function<void(Result<LenderPosition>)> done) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::PositionRequest*,
+                      proto::PositionReply*, std::function<void(grpc::Status)>);
+  proto::PositionRequest request;
+  request.set_group(group);
+  Start<proto::PositionRequest, proto::PositionReply>(
+      address, static_cast<Method>(&Async::Position), std::move(request),
+      timeout,
+      [done = std::move(done)](const Result<proto::PositionReply>& result) {
+        if (!Ok(result)) {
+          done(ErrorOf(result));
+          return;
+        }
+        const proto::PositionReply& reply = ValueOf(result);
+        done(LenderPosition{reply.epoch(),
+                            {reply.term(), reply.lsn()},
+                            absl::Microseconds(reply.age_us())});
+      });
+}
+
 }  // namespace heatherwick
--- a/Source/gateway/grpc_peer_transport.h
+++ b/Source/gateway/grpc_peer_transport.h
@@ -13,13 +13,14 @@
 
 #include "Source/base/error.h"
 #include "Source/gateway/event_loop.h"
+#include "Source/gateway/lending.h"
 #include "Source/gateway/peer_transport.h"
 #include "grpcpp/channel.h"
 #include "grpcpp/server.h"
 
 namespace heatherwick {
 
-class GrpcPeerTransport : public PeerTransport {
+class GrpcPeerTransport : public PeerTransport, public LendingTransport {
  public:
   // The handlers of incoming calls. They run on the event loop's thread.
   struct Responders {
@@ -28,6 +29,9 @@
                        std::function<void(Result<FollowResponse>)>)>
         follow;
     std::function<Result<std::string>(const FetchQuery&)> fetch;
+    std::function<void(RunQuery, std::function<void(RunResponse)>)> run;
+    std::function<void(uint64_t loan)> end_loan;
+    std::function<LenderPosition(const GroupName&)> position;
   };
 
   GrpcPeerTransport(EventLoop* loop, Responders responders);
@@ -48,6 +52,17 @@
              absl::Duration timeout,
              std::function<void(Result<std::string>)> done) override;
 
+  // LendingTransport:
+  void Run(const std::string& address,
+           const RunQuery& query,
+           absl::Duration timeout,
+           std::function<void(Result<RunResponse>)> done) override;
+  void Return(const std::string& address, uint64_t loan) override;
+  void QueryPosition(const std::string& address,
+                     const GroupName& group,
+                     absl::Duration timeout,
+                     std::function<void(Result<LenderPosition>)> done) override;
+
  private:
   class Service;
 
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -90,6 +90,7 @@
 
   bool LeaseValid() const { return m_view.LeaseValid(m_loop->Now()); }
   const LeadershipView& View() const { return m_view; }
+  const InstanceId& Self() const { return m_settings.self; }
   // Number of instances that share the targets' connections; at least 1.
   size_t MemberCount() const;
 
--- /dev/null
+++ b/Source/gateway/lending.h
@@ -0,0 +1,71 @@
+// Calls between an instance that lends connections to targets and those that
+// borrow them. See lender_plan.h for who lends.
+
+#ifndef SOURCE_GATEWAY_LENDING_H_
+#define SOURCE_GATEWAY_LENDING_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Source/base/error.h"
+#include "Source/base/types.h"
+#include "Source/gateway/target_link.h"
+#include "absl/time/time.h"
+
+namespace heatherwick {
+
+// Runs `commands` one after the other, until one fails.
+struct RunQuery {
+  GroupName group;
+  TargetId target;
+  // The loan that holds an open transaction; 0 asks for a connection.
+  uint64_t loan = 0;
+  std::vector<TargetCommand> commands;
+};
+
+enum class RunOutcome {
+  kDone,            // The commands up to the first that failed have run.
+  kConnectionLost,  // The command after the replies may have run.
+  kRefused,         // No command has run.
+};
+
+struct RunResponse {
+  RunOutcome outcome = RunOutcome::kDone;
+  std::vector<Reply> replies;
+  uint64_t loan = 0;  // Set while a transaction is open on the connection.
+  std::string cause;  // Empty if the outcome is kDone.
+};
+
+// The newest position of a group's primary that a lender knows.
+struct LenderPosition {
+  uint64_t epoch = 0;  // Of the leader row in use; 0 if no position is known.
+  Position position;
+  // The position includes every commit that was acknowledged this long before
+  // the answer, or earlier.
+  absl::Duration age;
+};
+
+class LendingTransport {
+ public:
+  virtual ~LendingTransport() = default;
+
+  // Fails with kNotFound if no process runs at the address, so that nothing has
+  // run. After other errors the commands may have run.
+  virtual void Run(const std::string& address,
+                   const RunQuery& query,
+                   absl::Duration timeout,
+                   std::function<void(Result<RunResponse>)> done) = 0;
+  // Ends a loan; an open transaction is rolled back.
+  virtual void Return(const std::string& address, uint64_t loan) = 0;
+  virtual void QueryPosition(
+      const std::string& address,
+      const GroupName& group,
+      absl::Duration timeout,
+      std::function<void(Result<LenderPosition>)> done) = 0;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_GATEWAY_LENDING_H_
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -52,7 +52,7 @@
   Table& state = m_tables[table];
   std::shared_ptr<const Members> members = m_members();
   if (state.planned_for == nullptr || state.planned_for != members) {
-    std::vector<RelayMember> candidates;
+    std::vector<FleetMember> candidates;
     for (const auto& [id, member] : *members) {
       candidates.push_back({id, member.data_centre, member.capacity});
     }
--- a/Source/gateway/target_link.h
+++ b/Source/gateway/target_link.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Source/base/error.h"
 #include "Source/gateway/configuration.h"
@@ -41,6 +42,11 @@
   virtual void Send(TargetCommand command, ReplyHandler on_reply) = 0;
   // Closes the connection at once; none of its handlers is called afterwards.
   virtual void Close() = 0;
+  // True if the connection is borrowed from another instance for each statement
+  // or transaction. A command then runs only if all those sent before it and
+  // not answered yet succeed, and session values and prepared statements end
+  // with the statement or transaction.
+  virtual bool Borrowed() const { return false; }
 };
 
 class TargetDriver {
@@ -56,6 +62,13 @@
       const ListedTarget& target,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) = 0;
+  // As Open(), but the connection is never borrowed.
+  virtual std::unique_ptr<TargetLink> OpenDirect(
+      const ListedTarget& target,
+      std::function<void(Result<Position>)> on_open,
+      std::function<void(Error)> on_close) {
+    return Open(target, std::move(on_open), std::move(on_close));
+  }
 
   virtual std::optional<TargetStatus> ParseStatus(const Reply& reply) = 0;
 };
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -66,7 +66,7 @@
     if (!connection->open || connection->busy) {
       continue;
     }
-    if (connection->values == values) {
+    if (connection->values == values && !connection->needs_reset) {
       chosen = connection.get();
       break;
     }
@@ -93,28 +93,30 @@
                            ? std::max<size_t>(1, m_guaranteed)
                            : m_maximum;
   while (opening < wanted_count && m_connections.size() < limit) {
-    Open();
+    Open(false);
     ++opening;
   }
 }
 
-void TargetPool::Open() {
+TargetConnection* TargetPool::Open(bool direct) {
   m_connections.push_back(std::make_unique<TargetConnection>());
   TargetConnection* const connection = m_connections.back().get();
   connection->pool = this;
   connection->state_changed_at = m_loop->Now();
-  connection->link = m_driver->Open(
-      m_target,
-      [this, connection, alive = m_alive](const Result<Position>& opened) {
-        if (*alive) {
-          OnOpened(connection, opened);
-        }
-      },
-      [this, connection, alive = m_alive](const Error& error) {
-        if (*alive) {
-          OnConnectionLost(connection, error);
-        }
-      });
+  auto on_open = [this, connection,
+                  alive = m_alive](const Result<Position>& opened) {
+    if (*alive) {
+      OnOpened(connection, opened);
+    }
+  };
+  auto on_close = [this, connection, alive = m_alive](const Error& error) {
+    if (*alive) {
+      OnConnectionLost(connection, error);
+    }
+  };
+  connection->link = direct ? m_driver->OpenDirect(m_target, on_open, on_close)
+                            : m_driver->Open(m_target, on_open, on_close);
+  return connection;
 }
 
 void TargetPool::OnOpened(TargetConnection* connection,
@@ -178,6 +180,11 @@
 }
 
 void TargetPool::Release(TargetConnection* connection) {
+  if (connection->link->Borrowed()) {
+    // The lender has it back, and opening another costs nothing.
+    CloseAndNotify(connection);
+    return;
+  }
   connection->busy = false;
   connection->on_lost = nullptr;
   connection->state_changed_at = m_loop->Now();
@@ -239,7 +246,9 @@
   // A dead connection must not make a live target look silent: if the free
   // connection was last used more than 1 s ago, the query uses a new one.
   if (query->connection != nullptr &&
-      m_loop->Now() - query->connection->state_changed_at > absl::Seconds(1)) {
+      (query->connection->link->Borrowed() ||
+       m_loop->Now() - query->connection->state_changed_at >
+           absl::Seconds(1))) {
     query->connection->busy = false;
     query->connection = nullptr;
   }
@@ -248,8 +257,7 @@
       m_loop->Post([query]() { query->Finish(std::nullopt); });
       return;
     }
-    Open();
-    query->connection = m_connections.back().get();
+    query->connection = Open(true);
     query->connection->busy = true;
   }
   TargetConnection* const connection = query->connection;
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -32,6 +32,8 @@
   bool busy = false;     // In use by a request, transaction or status query.
   SessionValues values;  // Set on the connection.
   std::set<std::string> prepared;  // Names prepared on the connection.
+  // The connection carries state of another instance's sessions.
+  bool needs_reset = false;
   // When opening started, when the connection opened or when it was last
   // released, whichever is latest.
   absl::Time state_changed_at;
@@ -80,7 +82,8 @@
   void Send(TargetConnection* connection,
             TargetCommand command,
             ReplyHandler on_reply);
-  // Queries the target on a free connection or on a new one.
+  // Queries the target on a free connection or on a new one. The connection is
+  // not borrowed, so that a lender's failure does not look like the target's.
   void QueryStatus(absl::Duration timeout,
                    std::function<void(std::optional<TargetStatus>)> done);
 
@@ -104,7 +107,7 @@
  private:
   void OnOpened(TargetConnection* connection, const Result<Position>& opened);
   void OnConnectionLost(TargetConnection* connection, const Error& error);
-  void Open();
+  TargetConnection* Open(bool direct);
   void Remove(TargetConnection* connection);
 
   ListedTarget m_target;
--- a/Tests/decision/relay_plan_test.cc
+++ b/Tests/decision/relay_plan_test.cc
@@ -29,11 +29,11 @@
   }
   DataCentreName DataCentreOf(const InstanceId& id) const {
     return std::find_if(m_members.begin(), m_members.end(),
-                        [&id](const RelayMember& m) { return m.id == id; })
+                        [&id](const FleetMember& m) { return m.id == id; })
         ->data_centre;
   }
 
-  std::vector<RelayMember> m_members;
+  std::vector<FleetMember> m_members;
 };
 
 // Guards against a member whose load grows with the number of instances.
@@ -42,7 +42,7 @@
   std::map<InstanceId, size_t> followers;
   std::map<DataCentreName, size_t> across;
   size_t readers = 0;
-  for (const RelayMember& member : m_members) {
+  for (const FleetMember& member : m_members) {
     const RelaySource source = PlanOf(member.id).sources.front();
     if (source.IsStore()) {
       ++readers;
@@ -85,7 +85,7 @@
     m_members[i].capacity = 50;
     strong.insert(m_members[i].id);
   }
-  for (const RelayMember& member : m_members) {
+  for (const FleetMember& member : m_members) {
     const RelaySource source = PlanOf(member.id).sources.front();
     if (DataCentreOf(member.id) != "dc-0" && strong.contains(member.id)) {
       CHECK((source.IsStore() || strong.contains(source.member)));
@@ -97,7 +97,7 @@
 TEST_CASE_FIXTURE(RelayPlanFixture, "RelayPlan_LargeFleet_FewMayPollTheStore") {
   AddMembers(300);
   size_t readers = 0;
-  for (const RelayMember& member : m_members) {
+  for (const FleetMember& member : m_members) {
     readers += PlanOf(member.id).unresponsive_before_store == 0 ? 1 : 0;
   }
   CHECK(readers >= kDataCentres);
