--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -116,8 +116,10 @@
   loan.connection = connection;
   loan.query = std::move(request.query);
   loan.answer = std::move(request.answer);
-  connection->on_lost = [this, id](const Error& error) {
-    OnConnectionLost(id, error);
+  connection->on_lost = [this, id, alive = m_alive](const Error& error) {
+    if (*alive) {
+      OnConnectionLost(id, error);
+    }
   };
   if (connection->needs_reset || !connection->values.empty() ||
       !connection->prepared.empty()) {
