gateway: Keep lenders that only wait for a slow target

Calls that found no connection to a lender were taken as lost although nothing had been sent, so that writes were reported in doubt.

Change: a refusal for lack of a connection is its own outcome and is offered to one more lender; a lender is avoided after a slow statement only if it does not answer a check either; a call without a connection fails with kNotSent and is offered to another lender. The line for a dead primary is written only when the change starts (it was repeated every 100 ms while another change held the promotion lock).

Tests: Lending_NoConnectionToLender_AnotherLenderServes, Lending_TargetSilent_LendersAreKept.

--- a/Source/base/error.cc
+++ b/Source/base/error.cc
@@ -23,6 +23,7 @@
     {ErrorKind::kKeyRefused, "key_refused"},
     {ErrorKind::kLeaving, "leaving"},
     {ErrorKind::kStatementFailed, "statement_failed"},
+    {ErrorKind::kNotSent, "not_sent"},
     {ErrorKind::kInternal, "internal"},
 };
 
--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -19,6 +19,10 @@
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(8);
 // Commands that no lender has run are offered to so many lenders.
 constexpr int kMaxOffers = 3;
+// If there is no free connection, the target is overloaded more likely than its
+// lender, and each offer waits for one.
+constexpr int kMaxOffersWithoutConnection = 2;
+constexpr absl::Duration kLenderCheckTimeout = absl::Milliseconds(250);
 // A link that is closed while its lender has not answered for this long shows
 // that the lender may be gone.
 constexpr absl::Duration kSuspectAfter = absl::Milliseconds(180);
@@ -59,7 +63,7 @@
     m_queue.clear();
     if (m_in_flight) {
       if (m_driver->m_loop->Now() - m_sent > kSuspectAfter) {
-        m_driver->Avoid(m_lender, "no answer to a statement");
+        m_driver->Suspect(m_lender, m_target.group);
       }
     } else {
       ReturnLoan();
@@ -84,13 +88,15 @@
     }
     m_running = std::exchange(m_queue, {});
     m_offers = 0;
+    m_refused_by.clear();
     Offer();
   }
 
   // Sends the running commands, to any lender if there is no loan.
   void Offer() {
     if (m_loan == 0) {
-      const std::optional<Lender> lender = m_driver->Choose(m_target.group);
+      const std::optional<Lender> lender =
+          m_driver->Choose(m_target.group, m_refused_by);
       if (!lender) {
         Refuse("the group has no lender");
         return;
@@ -115,9 +121,10 @@
     m_in_flight = false;
     if (!Ok(answer)) {
       m_driver->Avoid(m_lender, ErrorOf(answer).message);
-      const bool not_run = ErrorOf(answer).kind == ErrorKind::kNotFound;
+      const bool not_run = ErrorOf(answer).kind == ErrorKind::kNotFound ||
+                           ErrorOf(answer).kind == ErrorKind::kNotSent;
       if (not_run && m_loan == 0) {
-        OfferAgain(ErrorOf(answer).message);
+        OfferAgain(ErrorOf(answer).message, kMaxOffers);
       } else {
         m_loan = 0;
         Fail(ErrorOf(answer));
@@ -134,13 +141,16 @@
       case RunOutcome::kRefused:
         if (m_loan == 0) {
           m_driver->Avoid(m_lender, response.cause);
-          OfferAgain(response.cause);
+          OfferAgain(response.cause, kMaxOffers);
         } else {
           // The lender has rolled the transaction back.
           m_loan = 0;
           Refuse(response.cause);
         }
         return;
+      case RunOutcome::kNoConnection:
+        OfferAgain(response.cause, kMaxOffersWithoutConnection);
+        return;
       case RunOutcome::kConnectionLost:
         m_loan = 0;
         Fail({ErrorKind::kUnavailable, response.cause, "check the target"});
@@ -148,11 +158,12 @@
     }
   }
 
-  void OfferAgain(const std::string& cause) {
+  void OfferAgain(const std::string& cause, int max_offers) {
     if (m_closed) {
       return;
     }
-    if (m_offers < kMaxOffers) {
+    m_refused_by = m_lender.id;
+    if (m_offers < max_offers) {
       Offer();
     } else {
       Refuse(cause);
@@ -201,6 +212,7 @@
   bool m_in_flight = false;
   bool m_closed = false;
   int m_offers = 0;
+  InstanceId m_refused_by;  // The lender of the latest offer, if it refused.
   absl::Time m_sent;
   Lender m_lender;      // Of the loan or of the latest offer.
   uint64_t m_loan = 0;  // Not 0 while a transaction is open.
@@ -270,7 +282,7 @@
     const GroupName& group,
     absl::Duration timeout,
     std::function<void(Result<LenderPosition>)> done) {
-  const std::optional<Lender> lender = Choose(group);
+  const std::optional<Lender> lender = Choose(group, "");
   if (!lender) {
     m_loop->Post([done = std::move(done)]() {
       done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
@@ -281,7 +293,8 @@
 }
 
 std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
-    const GroupName& group) const {
+    const GroupName& group,
+    const InstanceId& except) const {
   const auto lenders = m_lenders.find(group);
   if (lenders == m_lenders.end()) {
     return std::nullopt;
@@ -290,6 +303,9 @@
   std::optional<Lender> chosen;
   absl::Time chosen_until;
   for (const Lender& lender : lenders->second) {
+    if (lender.id == except) {
+      continue;
+    }
     const auto avoided = m_avoided.find(lender.id);
     if (avoided == m_avoided.end() || now >= avoided->second.until) {
       return lender;
@@ -302,6 +318,20 @@
   return chosen;
 }
 
+void BorrowingDriver::Suspect(const Lender& lender, const GroupName& group) {
+  if (!m_suspected.insert(lender.id).second) {
+    return;
+  }
+  m_transport->QueryPosition(
+      lender.address, group, kLenderCheckTimeout,
+      [this, lender](const Result<LenderPosition>& answer) {
+        m_suspected.erase(lender.id);
+        if (!Ok(answer)) {
+          Avoid(lender, "no answer to a statement and a check");
+        }
+      });
+}
+
 void BorrowingDriver::Avoid(const Lender& lender, const std::string& cause) {
   const absl::Time now = m_loop->Now();
   Avoided& avoided = m_avoided[lender.id];
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,17 +59,22 @@
     absl::Duration duration;
   };
 
-  // The preferred lender that is not avoided. If all are, the one whose
-  // avoidance ends first. Nothing if the group has none.
-  std::optional<Lender> Choose(const GroupName& group) const;
+  // The preferred lender other than `except` that is not avoided. If all are,
+  // the one whose avoidance ends first. Nothing if there is none.
+  std::optional<Lender> Choose(const GroupName& group,
+                               const InstanceId& except) const;
   void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
   void Avoid(const Lender& lender, const std::string& cause);
+  // Checks whether a lender still answers, and avoids it if not. A statement
+  // that takes long may be due to the target.
+  void Suspect(const Lender& lender, const GroupName& group);
 
   EventLoop* const m_loop;
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
   std::map<GroupName, std::vector<Lender>> m_lenders;
   std::map<InstanceId, Avoided> m_avoided;
+  std::set<InstanceId> m_suspected;  // Being checked.
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -37,9 +37,11 @@
   *m_alive = false;
 }
 
-void ConnectionLender::Refuse(const Answer& answer, const std::string& cause) {
+void ConnectionLender::Refuse(const Answer& answer,
+                              const std::string& cause,
+                              RunOutcome outcome) {
   RunResponse response;
-  response.outcome = RunOutcome::kRefused;
+  response.outcome = outcome;
   response.cause = cause;
   answer(std::move(response));
 }
@@ -74,7 +76,8 @@
   }
   std::list<Request>& waiting = m_waiting[key];
   if (waiting.size() >= kMaxWaiting) {
-    Refuse(answer, "too many requests wait for a connection");
+    Refuse(answer, "too many requests wait for a connection",
+           RunOutcome::kNoConnection);
     return;
   }
   waiting.push_back({std::move(query), std::move(answer), nullptr});
@@ -82,7 +85,8 @@
   request->wait_timer = m_loop->RunAfter(kMaxWait, [this, key, request]() {
     const Answer refused = std::move(request->answer);
     m_waiting[key].erase(request);
-    Refuse(refused, "no connection was free in time");
+    Refuse(refused, "no connection was free in time",
+           RunOutcome::kNoConnection);
   });
   Serve(key);
 }
--- a/Source/gateway/connection_lender.h
+++ b/Source/gateway/connection_lender.h
@@ -67,7 +67,9 @@
   void OnReply(uint64_t id, Reply reply);
   void Finish(uint64_t id);
   void OnConnectionLost(uint64_t id, const Error& error);
-  static void Refuse(const Answer& answer, const std::string& cause);
+  static void Refuse(const Answer& answer,
+                     const std::string& cause,
+                     RunOutcome outcome = RunOutcome::kRefused);
 
   EventLoop* const m_loop;
   const FindPool m_find_pool;
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -23,6 +23,8 @@
 constexpr int kMaxReconnectBackoffMs = 300;
 // Requesters of the first version do not tell how long they wait.
 constexpr absl::Duration kDefaultFollowWait = absl::Milliseconds(600);
+// gRPC's message for a call that found no connection and could not open one.
+constexpr char kNoConnectionMessage[] = "failed to connect to all addresses";
 // The lender ends a loan by itself if it does not hear of its return.
 constexpr absl::Duration kReturnTimeout = absl::Seconds(1);
 // Longer than the timeout of any call.
@@ -361,6 +363,9 @@
             kind = ErrorKind::kNotHome;
           } else if (refused) {
             kind = ErrorKind::kNotFound;
+          } else if (absl::StrContains(status.error_message(),
+                                       kNoConnectionMessage)) {
+            kind = ErrorKind::kNotSent;
           }
           done(Error{kind, status.error_message(),
                      "check that the instance runs and can be reached"});
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -792,7 +792,7 @@
   const absl::Time start_at = state.vote_cast_at +
                               (all_voted ? absl::ZeroDuration() : kVoteWindow) +
                               stagger;
-  if (now >= start_at) {
+  if (now >= start_at && CanTakePromotionLock()) {
     LOG(INFO) << "event=primary_dead group=" << group
               << " primary=" << leader.primary << " votes_dead=" << dead
               << " votes_alive=" << alive;
--- a/Source/gateway/lending.h
+++ b/Source/gateway/lending.h
@@ -29,6 +29,7 @@
   kDone,            // The commands up to the first that failed have run.
   kConnectionLost,  // The command after the replies may have run.
   kRefused,         // No command has run.
+  kNoConnection,    // As kRefused, because no connection was free in time.
 };
 
 struct RunResponse {
@@ -51,8 +52,9 @@
  public:
   virtual ~LendingTransport() = default;
 
-  // Fails with kNotFound if no process runs at the address, so that nothing has
-  // run. After other errors the commands may have run.
+  // Fails with kNotFound if no process runs at the address, and with kNotSent
+  // if there is no connection to it; nothing has run then. After other errors
+  // the commands may have run.
   virtual void Run(const std::string& address,
                    const RunQuery& query,
                    absl::Duration timeout,
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -267,9 +267,9 @@
       });
       return;
     }
-    if (!instances.contains(address)) {
+    if (unconnected.contains(address)) {
       loop.Add(kHop, [done]() {
-        done(Error{ErrorKind::kNotFound, "refused", ""});
+        done(Error{ErrorKind::kNotSent, "no connection", ""});
       });
       return;
     }
@@ -291,16 +291,24 @@
       instances.at(address)->lender.OnReturn(loan);
     });
   }
-  void QueryPosition(const std::string&,
-                     const GroupName&,
-                     absl::Duration,
-                     std::function<void(Result<LenderPosition>)>) override {}
+  void QueryPosition(
+      const std::string& address,
+      const GroupName&,
+      absl::Duration timeout,
+      std::function<void(Result<LenderPosition>)> done) override {
+    const bool answers = !silent.contains(address);
+    loop.Add(answers ? kHop : timeout, [answers, done]() {
+      done(answers ? Result<LenderPosition>(LenderPosition())
+                   : Error{ErrorKind::kUnavailable, "no answer", ""});
+    });
+  }
 
   VirtualLoop loop;
   FakeDatabase database;
   std::map<InstanceId, std::unique_ptr<Instance>> instances;
   std::vector<InstanceId> lenders;
   std::set<std::string> silent;  // Addresses that do not answer.
+  std::set<std::string> unconnected;
   bool lose_answers = false;
   int runs = 0;
 };
@@ -558,6 +566,42 @@
   CHECK(outcome == RunOutcome::kRefused);
 }
 
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_NoConnectionToLender_AnotherLenderServes") {
+  m_fleet.unconnected.insert(m_fleet.lenders[0]);
+  for (size_t borrower = 0; borrower < 10; ++borrower) {
+    Caller& caller = Open(borrower);
+    Send(&caller, StatementKind::kWrite, absl::StrCat("w", borrower));
+    Run();
+    REQUIRE(caller.replies.size() == 1);
+    CHECK(caller.replies[0].code == ReplyCode::kComplete);
+    CHECK(Count(absl::StrCat("w", borrower)) == 1);
+  }
+}
+
+// Guards against borrowers that leave all lenders because one target is silent.
+TEST_CASE_FIXTURE(LendingFixture, "Lending_TargetSilent_LendersAreKept") {
+  m_fleet.database.hold = true;
+  for (size_t borrower = 0; borrower < 10; ++borrower) {
+    Caller& caller = Open(borrower);
+    Send(&caller, StatementKind::kRead, "r");
+  }
+  Run(absl::Milliseconds(300));
+  for (const auto& caller : m_callers) {
+    caller->link->Close();
+  }
+  Run(absl::Milliseconds(1));
+  m_fleet.database.hold = false;
+  m_fleet.database.LoseConnections();
+  Run(absl::Milliseconds(300));
+  m_fleet.runs = 0;
+  Caller& caller = Open(0);
+  Send(&caller, StatementKind::kRead, "r1");
+  Run();
+  REQUIRE(caller.replies.size() == 1);
+  CHECK(m_fleet.runs == 1);
+}
+
 class LoadedFleetFixture {
  protected:
   static constexpr size_t kInstances = 80;
