gateway: Borrow from neighbours while a target accepts no connection

Instances were ready 0.12 s after their start, but those without one of the few free connections refused all statements for up to 2 s ("no target was free in time").

Change: while a target refuses connections and a pool has none of its own, its statements are offered to up to three of eight neighbours that have one. Connections of one's own are preferred and are the only ones lent.

--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -21,7 +21,7 @@
 constexpr int kMaxOffers = 3;
 // If there is no free connection, the target is overloaded more likely than its
 // lender, and each offer waits for one.
-constexpr int kMaxOffersWithoutConnection = 2;
+constexpr int kMaxOffersWithoutConnection = 3;
 constexpr absl::Duration kLenderCheckTimeout = absl::Milliseconds(250);
 // A link that is closed while its lender has not answered for this long shows
 // that the lender may be gone.
@@ -162,7 +162,7 @@
     if (m_closed) {
       return;
     }
-    m_refused_by = m_lender.id;
+    m_refused_by.insert(m_lender.id);
     if (m_offers < max_offers) {
       Offer();
     } else {
@@ -212,7 +212,7 @@
   bool m_in_flight = false;
   bool m_closed = false;
   int m_offers = 0;
-  InstanceId m_refused_by;  // The lender of the latest offer, if it refused.
+  std::set<InstanceId> m_refused_by;  // Lenders that refused the commands.
   absl::Time m_sent;
   Lender m_lender;      // Of the loan or of the latest offer.
   uint64_t m_loan = 0;  // Not 0 while a transaction is open.
@@ -274,6 +274,16 @@
   return m_direct->Open(target, std::move(on_open), std::move(on_close));
 }
 
+std::unique_ptr<TargetLink> BorrowingDriver::Borrow(
+    const ListedTarget& target,
+    std::function<void(Error)> on_close) {
+  if (!Choose(target.group, {})) {
+    return nullptr;
+  }
+  return std::make_unique<BorrowedLink<Link>>(
+      std::make_shared<Link>(this, target, std::move(on_close)));
+}
+
 std::optional<TargetStatus> BorrowingDriver::ParseStatus(const Reply& reply) {
   return m_direct->ParseStatus(reply);
 }
@@ -282,7 +292,7 @@
     const GroupName& group,
     absl::Duration timeout,
     std::function<void(Result<LenderPosition>)> done) {
-  const std::optional<Lender> lender = Choose(group, "");
+  const std::optional<Lender> lender = Choose(group, {});
   if (!lender) {
     m_loop->Post([done = std::move(done)]() {
       done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
@@ -294,16 +304,19 @@
 
 std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
     const GroupName& group,
-    const InstanceId& except) const {
-  const auto lenders = m_lenders.find(group);
-  if (lenders == m_lenders.end()) {
-    return std::nullopt;
+    const std::set<InstanceId>& except) const {
+  auto lenders = m_lenders.find(group);
+  if (lenders == m_lenders.end() || lenders->second.empty()) {
+    lenders = m_neighbours.find(group);
+    if (lenders == m_neighbours.end()) {
+      return std::nullopt;
+    }
   }
   const absl::Time now = m_loop->Now();
   std::optional<Lender> chosen;
   absl::Time chosen_until;
   for (const Lender& lender : lenders->second) {
-    if (lender.id == except) {
+    if (except.contains(lender.id)) {
       continue;
     }
     const auto avoided = m_avoided.find(lender.id);
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Source/decision/lender_plan.h"
@@ -47,6 +48,14 @@
       std::function<void(Error)> on_close) override;
   std::optional<TargetStatus> ParseStatus(const Reply& reply) override;
 
+  // Instances that may have connections of their own, for Borrow().
+  void SetNeighbours(const GroupName& group, std::vector<Lender> neighbours) {
+    m_neighbours[group] = std::move(neighbours);
+  }
+  std::unique_ptr<TargetLink> Borrow(
+      const ListedTarget& target,
+      std::function<void(Error)> on_close) override;
+
   // Asks a lender for the newest known position of the group's primary.
   void QueryPosition(const GroupName& group,
                      absl::Duration timeout,
@@ -59,10 +68,10 @@
     absl::Duration duration;
   };
 
-  // The preferred lender other than `except` that is not avoided. If all are,
-  // the one whose avoidance ends first. Nothing if there is none.
+  // The preferred lender that is not in `except` and is not avoided. If all are
+  // avoided, the one whose avoidance ends first. Nothing if there is none.
   std::optional<Lender> Choose(const GroupName& group,
-                               const InstanceId& except) const;
+                               const std::set<InstanceId>& except) const;
   void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
   void Avoid(const Lender& lender, const std::string& cause);
   // Checks whether a lender still answers, and avoids it if not. A statement
@@ -73,6 +82,7 @@
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
   std::map<GroupName, std::vector<Lender>> m_lenders;
+  std::map<GroupName, std::vector<Lender>> m_neighbours;
   std::map<InstanceId, Avoided> m_avoided;
   std::set<InstanceId> m_suspected;  // Being checked.
 };
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -102,7 +102,14 @@
   }
   TargetPool* const pool = m_find_pool(key.first, key.second);
   while (pool != nullptr && !waiting->second.empty()) {
-    TargetConnection* const connection = pool->Acquire({});
+    TargetConnection* const connection = pool->AcquireToLend();
+    if (connection == nullptr && pool->OwnOpenCount() == 0 && pool->AtLimit()) {
+      const Request request = std::move(waiting->second.front());
+      waiting->second.pop_front();
+      Refuse(request.answer, "the target accepts no connection",
+             RunOutcome::kNoConnection);
+      continue;
+    }
     if (connection == nullptr) {
       pool->EnsureOpening(std::min(kMaxOpening, waiting->second.size()));
       return;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -4,8 +4,10 @@
 #include "Source/gateway/gateway.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include "Source/base/hash.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 
@@ -42,6 +44,9 @@
 // Statements and transactions of one instance that borrow from a target's
 // lenders at the same time. The lenders queue them.
 constexpr size_t kBorrowedConnections = 32;
+// Instances that may be asked for a connection while the target accepts none of
+// this instance.
+constexpr size_t kNeighbours = 8;
 // A lender refreshes a position that is older than this when it is asked.
 constexpr absl::Duration kLenderPositionAge = absl::Milliseconds(400);
 constexpr absl::Duration kLenderPositionTimeout = absl::Milliseconds(150);
@@ -211,12 +216,39 @@
     }
   }
   m_borrowing->SetLenders(name, std::move(lenders));
+  if (plan.self_lends) {
+    std::erase_if(members, [&plan](const FleetMember& member) {
+      return std::find(plan.lenders.begin(), plan.lenders.end(), member.id) ==
+             plan.lenders.end();
+    });
+  }
+  SetNeighbours(name, members);
+}
+
+void Gateway::SetNeighbours(const GroupName& name,
+                            const std::vector<FleetMember>& members) {
+  const InstanceId& self = m_leadership->Self();
+  std::vector<std::tuple<bool, uint64_t, InstanceId>> ranked;
+  for (const FleetMember& member : members) {
+    if (member.id != self) {
+      ranked.emplace_back(member.data_centre != m_data_centre,
+                          StableHash(member.id, StableHash(self)), member.id);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), kNeighbours));
+  std::vector<BorrowingDriver::Lender> neighbours;
+  for (const auto& [remote, hash, id] : ranked) {
+    neighbours.push_back(
+        {id, m_leadership->View().Members().at(id).peer_address});
+  }
+  m_borrowing->SetNeighbours(name, std::move(neighbours));
 }
 
 TargetPool* Gateway::PoolToLend(const GroupName& group,
                                 const TargetId& target) {
   const auto found = m_groups.find(group);
-  if (found == m_groups.end() || !found->second.lends) {
+  if (found == m_groups.end() || found->second.borrows) {
     return nullptr;
   }
   const auto pool = found->second.pools.find(target);
@@ -587,7 +619,7 @@
     pool->CloseIdle();
     // Keeps one connection open, so that the first statement does not wait and
     // a dead target is noticed.
-    if (pool->OpenCount() == 0 && !pool->Target().draining &&
+    if (pool->OwnOpenCount() == 0 && !pool->Target().draining &&
         !group->on_demand) {
       pool->EnsureOpening(1);
     }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -61,7 +61,8 @@
   void EndTransactions(const std::string& cause);
   size_t Sessions() const { return m_sessions.size(); }
 
-  // The pool of a target whose connections this instance lends, or null.
+  // The pool of a target to which this instance has connections of its own, or
+  // null.
   TargetPool* PoolToLend(const GroupName& group, const TargetId& target);
   // The newest position of the group's primary that this instance knows.
   LenderPosition NewestPosition(const GroupName& group);
@@ -132,6 +133,8 @@
   void Tick();
   void TickGroup(const GroupName& name, Group* group);
   void UpdateLimits();
+  void SetNeighbours(const GroupName& name,
+                     const std::vector<FleetMember>& members);
   void UpdateLenders(const GroupName& name, Group* group, size_t limit);
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
--- a/Source/gateway/target_link.h
+++ b/Source/gateway/target_link.h
@@ -70,6 +70,12 @@
     return Open(target, std::move(on_open), std::move(on_close));
   }
 
+  // Borrows a connection from an instance that has one, or returns null if no
+  // other instance is known. Used while the target accepts no connection more.
+  virtual std::unique_ptr<TargetLink> Borrow(const ListedTarget&,
+                                             std::function<void(Error)>) {
+    return nullptr;
+  }
   virtual std::optional<TargetStatus> ParseStatus(const Reply& reply) = 0;
 };
 
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -24,6 +24,9 @@
 // about 12 ms, and longer under load, because it waits for a slot of the
 // target.
 constexpr absl::Duration kOpenTimeout = absl::Milliseconds(800);
+// Statements and transactions that borrow at the same time while the target
+// accepts no connection.
+constexpr size_t kMaxBorrowed = 8;
 // Idle connections beyond the guaranteed ones are closed after this.
 constexpr absl::Duration kSurplusIdleTimeout = absl::Milliseconds(500);
 // Idle connections are closed after this if none is guaranteed. The next
@@ -66,11 +69,32 @@
     if (!connection->open || connection->busy) {
       continue;
     }
+    if (connection->link->Borrowed()) {
+      // A connection of this instance itself needs no hop.
+      chosen = chosen == nullptr ? connection.get() : chosen;
+      continue;
+    }
     if (connection->values == values && !connection->needs_reset) {
       chosen = connection.get();
       break;
     }
-    if (chosen == nullptr || connection->values.empty()) {
+    if (chosen == nullptr || chosen->link->Borrowed() ||
+        connection->values.empty()) {
+      chosen = connection.get();
+    }
+  }
+  if (chosen != nullptr) {
+    chosen->busy = true;
+  }
+  return chosen;
+}
+
+TargetConnection* TargetPool::AcquireToLend() {
+  TargetConnection* chosen = nullptr;
+  for (const auto& connection : m_connections) {
+    if (connection->open && !connection->busy &&
+        !connection->link->Borrowed() &&
+        (chosen == nullptr || connection->values.empty())) {
       chosen = connection.get();
     }
   }
@@ -80,8 +104,22 @@
   return chosen;
 }
 
+bool TargetPool::AtLimit() const {
+  return m_loop->Now() < m_over_limit_at + kReducedLimitDuration;
+}
+
+size_t TargetPool::OwnOpenCount() const {
+  return std::count_if(
+      m_connections.begin(), m_connections.end(), [](const auto& connection) {
+        return connection->open && !connection->link->Borrowed();
+      });
+}
+
 void TargetPool::EnsureOpening(size_t wanted_count) {
   const absl::Time now = m_loop->Now();
+  if (AtLimit() && OwnOpenCount() == 0) {
+    BorrowOne();
+  }
   if (now < m_retry_at) {
     return;
   }
@@ -89,13 +127,47 @@
   for (const auto& connection : m_connections) {
     opening += connection->open ? 0 : 1;
   }
-  const size_t limit = now < m_over_limit_at + kReducedLimitDuration
-                           ? std::max<size_t>(1, m_guaranteed)
-                           : m_maximum;
-  while (opening < wanted_count && m_connections.size() < limit) {
+  const size_t limit =
+      AtLimit() ? std::max<size_t>(1, m_guaranteed) : m_maximum;
+  size_t connections = 0;
+  for (const auto& connection : m_connections) {
+    connections += connection->link->Borrowed() && m_guaranteed > 0 ? 0 : 1;
+  }
+  while (opening < wanted_count && connections < limit) {
     Open(false);
     ++opening;
+    ++connections;
+  }
+}
+
+void TargetPool::BorrowOne() {
+  size_t borrowed = 0;
+  for (const auto& connection : m_connections) {
+    borrowed += connection->link->Borrowed() ? 1 : 0;
+  }
+  if (borrowed >= kMaxBorrowed) {
+    return;
+  }
+  auto connection = std::make_unique<TargetConnection>();
+  TargetConnection* const borrower = connection.get();
+  connection->pool = this;
+  connection->open = true;
+  connection->state_changed_at = m_loop->Now();
+  connection->link = m_driver->Borrow(
+      m_target, [this, borrower, alive = m_alive](const Error& error) {
+        if (*alive) {
+          OnConnectionLost(borrower, error);
+        }
+      });
+  if (!connection->link) {
+    return;
   }
+  m_connections.push_back(std::move(connection));
+  m_loop->Post([this, alive = m_alive]() {
+    if (*alive) {
+      m_observer->OnPoolChanged(this);
+    }
+  });
 }
 
 TargetConnection* TargetPool::Open(bool direct) {
@@ -320,6 +392,9 @@
 absl::Time TargetPool::OldestUnansweredTime() const {
   absl::Time oldest = absl::InfiniteFuture();
   for (const auto& connection : m_connections) {
+    if (connection->link->Borrowed()) {
+      continue;  // The lender may be at fault.
+    }
     if (!connection->open) {
       oldest = std::min(oldest, connection->state_changed_at);
     } else if (connection->unanswered_since) {
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -70,6 +70,12 @@
   // Marks a free open connection busy and returns it, preferring one whose
   // session values equal `values`. Returns null if none is free.
   TargetConnection* Acquire(const SessionValues& values);
+  // As Acquire(), but never returns a borrowed connection.
+  TargetConnection* AcquireToLend();
+  // Connections of this instance itself that are open.
+  size_t OwnOpenCount() const;
+  // True if the target has refused a connection lately because of its limit.
+  bool AtLimit() const;
   // Opens connections until `wanted_count` are being opened, as far as the
   // limits allow.
   void EnsureOpening(size_t wanted_count);
@@ -108,6 +114,9 @@
   void OnOpened(TargetConnection* connection, const Result<Position>& opened);
   void OnConnectionLost(TargetConnection* connection, const Error& error);
   TargetConnection* Open(bool direct);
+  // Borrows a connection while the target accepts none. The connection is open
+  // at once.
+  void BorrowOne();
   void Remove(TargetConnection* connection);
 
   ListedTarget m_target;
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -39,7 +39,7 @@
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
     const int number = ++opened;
-    if (m_connections.size() >= m_max_connections) {
+    if (m_connections.size() + lingering >= m_max_connections) {
       ++refused;
       m_loop->Add(kHop, [on_open]() {
         on_open(Error{ErrorKind::kOverloaded, "too many connections", ""});
@@ -72,7 +72,8 @@
   std::vector<Ran> ran;  // Statements of borrowers.
   int resets = 0;
   bool fail_setup = false;
-  bool hold = false;  // Statements get no reply.
+  size_t lingering = 0;  // Connections of machines that have lost power.
+  bool hold = false;     // Statements get no reply.
   absl::Duration open_time = absl::Milliseconds(12);
   absl::Duration statement_time = absl::Milliseconds(12);
 
@@ -655,6 +656,31 @@
   CHECK(fleet.database.opened <= static_cast<int>(kLimit));
 }
 
+// Replays a fleet that starts again after a power loss, while the target still
+// counts most of its old connections. Instances that got none of the few free
+// ones waited for three seconds.
+TEST_CASE_FIXTURE(LoadedFleetFixture,
+                  "Lending_TargetAcceptsFewConnections_NeighboursLend") {
+  Fleet fleet(9, 2, 16);
+  REQUIRE(fleet.lenders.empty());
+  for (auto& [id, instance] : fleet.instances) {
+    instance->pool.SetLimits(1, 2);
+    instance->lends = true;
+    std::vector<BorrowingDriver::Lender> neighbours;
+    for (const auto& [other, ignored] : fleet.instances) {
+      if (other != id) {
+        neighbours.push_back({other, other});
+      }
+    }
+    instance->driver.SetNeighbours("g", std::move(neighbours));
+  }
+  fleet.database.lingering = 12;
+  Offer(&fleet, 60, absl::Seconds(1));
+  const int completed = Offer(&fleet, 60, absl::Seconds(2));
+  CHECK(completed >= 2 * 60 * 95 / 100);
+  CHECK(fleet.database.most_connections <= 4);
+}
+
 // After a load that the target cannot carry, service must return.
 TEST_CASE_FIXTURE(LoadedFleetFixture,
                   "Lending_BurstEnds_GoodputReturnsWithinSeconds") {
