gateway: Survive malformed parts and unexpected errors

Looked for: one malformed message or unexpected error that ends a process or holds it up. A member that sent empty parts of a large row would have been asked for ever, and an exception in any task of the event loop ended the process.

Change: a part must make progress and stay below the size that Unpack() accepts; the event loop logs an exception and goes on with the next task. A whole table from a member may be at most 1.5 s old, so that an instance that starts does not use what was withdrawn before.

--- a/Source/base/packing.cc
+++ b/Source/base/packing.cc
@@ -5,14 +5,6 @@
 #include <zlib.h>
 
 namespace heatherwick {
-namespace {
-
-// Larger values are not accepted, so that a damaged message cannot make an
-// instance run out of memory. The store's rows are smaller.
-constexpr size_t kMaxValueBytes = 16 << 20;
-
-}  // namespace
-
 std::string Pack(const std::string& value) {
   uLongf size = compressBound(value.size());
   std::string packed(size, '\0');
@@ -27,7 +19,7 @@
   const Error damaged{ErrorKind::kInvalidArgument,
                       "the packed value is damaged or too large",
                       "check that all instances run compatible versions"};
-  if (value_bytes > kMaxValueBytes) {
+  if (value_bytes > kMaxUnpackedBytes) {
     return damaged;
   }
   std::string value(value_bytes, '\0');
--- a/Source/base/packing.h
+++ b/Source/base/packing.h
@@ -10,6 +10,10 @@
 
 namespace heatherwick {
 
+// Larger values are not unpacked, so that a damaged message cannot make an
+// instance run out of memory. The store's rows are smaller.
+inline constexpr size_t kMaxUnpackedBytes = 16 << 20;
+
 // Returns `value` in the zlib format.
 std::string Pack(const std::string& value);
 
--- a/Source/gateway/asio_event_loop.cc
+++ b/Source/gateway/asio_event_loop.cc
@@ -3,11 +3,13 @@
 
 #include "Source/gateway/asio_event_loop.h"
 
+#include <exception>
 #include <utility>
 
 #include "Source/base/steady_clock.h"
 #include "boost/asio/post.hpp"
 #include "boost/asio/steady_timer.hpp"
+#include "glog/logging.h"
 
 namespace heatherwick {
 namespace {
@@ -60,6 +62,17 @@
       m_context, std::max(delay, absl::ZeroDuration()), std::move(task));
 }
 
+void AsioEventLoop::Run() {
+  while (!m_context->stopped()) {
+    try {
+      m_context->run();
+    } catch (const std::exception& error) {
+      LOG(ERROR) << "event=unexpected_error cause=\"" << error.what()
+                 << "\" outcome=task_ended";
+    }
+  }
+}
+
 void AsioEventLoop::Post(std::function<void()> task) {
   boost::asio::post(*m_context, std::move(task));
 }
--- a/Source/gateway/asio_event_loop.h
+++ b/Source/gateway/asio_event_loop.h
@@ -22,6 +22,10 @@
       std::function<void()> task) override;
   void Post(std::function<void()> task) override;
 
+  // Runs the context until it is stopped. An exception ends only the task that
+  // threw it, because a single message or session must not end the process.
+  void Run();
+
  private:
   boost::asio::io_context* const m_context;
 };
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -13,6 +13,9 @@
 namespace heatherwick {
 namespace {
 
+// An instance that starts does not know what has been withdrawn since an older
+// reading.
+constexpr absl::Duration kMaxAgeOfWholeTable = absl::Milliseconds(1500);
 // For members that are asked to answer at once. Short, so that two unresponsive
 // members in a row are passed over within the lease on primaries.
 constexpr absl::Duration kImmediateAnswerTimeout = absl::Milliseconds(400);
@@ -186,7 +189,10 @@
   // The query arrived no earlier than it was sent, so this time is not later
   // than the read.
   changes.as_of = sent + followed.waited - followed.age;
-  const bool too_old = now - changes.as_of > state.max_age;
+  const absl::Duration max_age =
+      call->whole_table ? std::min(state.max_age, kMaxAgeOfWholeTable)
+                        : state.max_age;
+  const bool too_old = now - changes.as_of > max_age;
   // An older table must not replace what this instance knows.
   const bool regresses = changes.snapshot && changes.version < state.version;
   if (too_old || regresses || followed.failing || followed.reader == m_self ||
@@ -227,6 +233,12 @@
 void SharedRowStore::OnPart(const std::shared_ptr<Call>& call,
                             const std::shared_ptr<Transfer>& transfer,
                             Result<std::string> part) {
+  if (Ok(part) &&
+      (ValueOf(part).empty() || transfer->data.size() > kMaxUnpackedBytes)) {
+    part = Error{ErrorKind::kNotHome, "the source sends no usable part",
+                 "check that all instances run compatible versions"};
+    m_tables[call->table].choice.OnCannotRead(transfer->source, m_loop->Now());
+  }
   if (!Ok(part)) {
     const bool replaced = ErrorOf(part).kind == ErrorKind::kNotHome;
     if (replaced || ++transfer->failures > kMaxFetchFailures) {
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -75,6 +75,11 @@
         return;
       }
       owner->m_loop.Add(absl::Milliseconds(2), [&peer, query, done, this]() {
+        if (owner->damage != Damage::kNone && ++owner->damaged_parts < 1000) {
+          done(std::string(owner->damage == Damage::kEmptyParts ? 0 : 5000,
+                           'x'));
+          return;
+        }
         Result<std::string> part = peer.shared.OnFetch(query);
         if (Ok(part)) {
           owner->largest_part =
@@ -160,6 +165,9 @@
     return *m_instances["a"];
   }
 
+  enum class Damage { kNone, kEmptyParts, kOtherBytes };
+  Damage damage = Damage::kNone;
+  int damaged_parts = 0;
   bool lose_parts = false;
   size_t largest_part = 0;
   VirtualLoop m_loop;
@@ -315,6 +323,29 @@
   CHECK(sent <= 3 * document.size());
 }
 
+// Guards against a member whose malformed parts keep another one asking for
+// ever, or end its process.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_PartsMalformed_StoreIsReadInstead") {
+  std::string document;
+  for (int line = 0; line < 5000; ++line) {
+    absl::StrAppend(&document, line * 7919 % 100003, ";");
+  }
+  for (const Damage kind : {Damage::kEmptyParts, Damage::kOtherBytes}) {
+    damage = kind;
+    damaged_parts = 0;
+    absl::StrAppend(&document, "end");
+    Write("config", document);
+    m_loop.RunFor(absl::Seconds(4));
+    CHECK(damaged_parts < 200);
+    damage = Damage::kNone;
+    m_loop.RunFor(absl::Seconds(6));
+    for (const auto& [name, instance] : m_instances) {
+      CHECK(instance->rows["config"] == document);
+    }
+  }
+}
+
 // Guards against a fleet that polls the store once for each instance and each
 // row while it starts.
 TEST_CASE_FIXTURE(FleetSharedStoreFixture,
