--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -287,12 +287,12 @@
 
 std::unique_ptr<TargetLink> BorrowingDriver::Borrow(
     const ListedTarget& target,
-    std::function<void(Error)> on_close) {
+    const std::function<void(Error)>& on_close) {
   if (!Choose(target.group, {})) {
     return nullptr;
   }
   return std::make_unique<BorrowedLink<Link>>(
-      std::make_shared<Link>(this, target, std::move(on_close)));
+      std::make_shared<Link>(this, target, on_close));
 }
 
 std::optional<TargetStatus> BorrowingDriver::ParseStatus(const Reply& reply) {
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -56,7 +56,7 @@
   }
   std::unique_ptr<TargetLink> Borrow(
       const ListedTarget& target,
-      std::function<void(Error)> on_close) override;
+      const std::function<void(Error)>& on_close) override;
 
   // Asks a lender for the newest known position of the group's primary.
   void QueryPosition(const GroupName& group,
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -238,6 +238,7 @@
   std::sort(ranked.begin(), ranked.end());
   ranked.resize(std::min(ranked.size(), kNeighbours));
   std::vector<BorrowingDriver::Lender> neighbours;
+  neighbours.reserve(ranked.size());
   for (const auto& [remote, hash, id] : ranked) {
     neighbours.push_back(
         {id, m_leadership->View().Members().at(id).peer_address});
--- a/Source/gateway/target_link.h
+++ b/Source/gateway/target_link.h
@@ -72,8 +72,9 @@
 
   // Borrows a connection from an instance that has one, or returns null if no
   // other instance is known. Used while the target accepts no connection more.
-  virtual std::unique_ptr<TargetLink> Borrow(const ListedTarget&,
-                                             std::function<void(Error)>) {
+  virtual std::unique_ptr<TargetLink> Borrow(
+      const ListedTarget&,
+      const std::function<void(Error)>&) {
     return nullptr;
   }
   virtual std::optional<TargetStatus> ParseStatus(const Reply& reply) = 0;
--- a/Tests/decision/relay_choice_test.cc
+++ b/Tests/decision/relay_choice_test.cc
@@ -14,7 +14,6 @@
   RelaySource Choose() { return m_choice.Choose(m_now).source; }
   void Pass(absl::Duration time) { m_now += time; }
 
-  static constexpr absl::Duration kLong = absl::Minutes(5);
   const RelaySource m_parent{"parent"};
   const RelaySource m_reader{"reader"};
   const RelaySource m_store;
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -90,7 +90,7 @@
         : m_database(database), m_number(number) {}
     ~Link() override { Close(); }
     void Send(TargetCommand command, ReplyHandler on_reply) override {
-      m_database->OnCommand(m_number, std::move(command), std::move(on_reply));
+      m_database->OnCommand(m_number, command, std::move(on_reply));
     }
     void Close() override { m_database->m_connections.erase(m_number); }
 
@@ -116,7 +116,9 @@
     }
   }
 
-  void OnCommand(int number, TargetCommand command, ReplyHandler on_reply) {
+  void OnCommand(int number,
+                 const TargetCommand& command,
+                 ReplyHandler on_reply) {
     const auto found = m_connections.find(number);
     if (found == m_connections.end()) {
       return;
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -316,7 +316,7 @@
   }
   std::sort(queries.begin(), queries.end());
   CHECK(queries[kMembers / 2] <= 10 * 4 * 3);
-  CHECK(queries.back() <= 10 * 2 * kMembers);
+  CHECK(queries.back() <= kMembers * 10 * 2);
 }
 
 TEST_CASE_FIXTURE(LargeFleetLeasesFixture,
