gateway: Treat a call that an older peer does not know as not sent

Cause: a lender of the version before answers UNIMPLEMENTED to Run. That was taken as a lost answer, so that during an upgrade writes of borrowers would have been reported in doubt although nothing had run.

Change: such a call fails with kNotSent and is offered to another lender. Found by reading the change; no test runs two versions.

--- a/Source/base/error.h
+++ b/Source/base/error.h
@@ -25,7 +25,7 @@
   kKeyRefused,        // Resolve settled the idempotency key as not run.
   kLeaving,           // The instance or target is shutting down.
   kStatementFailed,   // The target ran the statement and reported an error.
-  kNotSent,           // There is no connection, so that nothing was sent.
+  kNotSent,  // No connection, or a peer without this call; nothing ran.
   kInternal,
 };
 
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -379,7 +379,9 @@
           } else if (refused) {
             kind = ErrorKind::kNotFound;
           } else if (absl::StrContains(status.error_message(),
-                                       kNoConnectionMessage)) {
+                                       kNoConnectionMessage) ||
+                     status.error_code() == grpc::StatusCode::UNIMPLEMENTED) {
+            // A peer of an earlier version does not know every call.
             kind = ErrorKind::kNotSent;
           }
           done(Error{kind, status.error_message(),
