--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -295,16 +295,15 @@
 }
 
 // A client that sends its questions without waiting for the answers.
-void Flood(int number, uint16_t port, double end) {
+void Flood(uint16_t port, double end) {
   for (int run = 0; NowMs() < end; ++run) {
-    const std::string name =
-        "flood" + std::to_string(number) + "r" + std::to_string(run);
+    const std::string name = "flood" + std::to_string(run);
     Client client(name, port, "orders");
     if (!client.Open()) {
       SleepMs(50);
       continue;
     }
-    client.SetAnswerTimeout(300);
+    client.SetAnswerTimeout(100);
     const std::vector<std::string> texts = {"READ k0", "READ k1", "BEGIN",
                                             "READ k2"};
     std::string bytes;
@@ -324,13 +323,12 @@
         WriteOutcome(client.ReadAnswer());
       }
     }
-    SleepMs(100);
+    SleepMs(20);
   }
 }
 
-// Clients send questions without waiting for the answers. PINNED.
+// A client sends questions without waiting for the answers. PINNED.
 int PlayFlood() {
-  constexpr int kFloods = 3;
   Deployment world;
   if (!Start(world.Get(), {}, 3)) {
     return kCannotRun;
@@ -338,15 +336,7 @@
   const uint16_t port = world->machines.front()->Port();
   Sessions writers("w", 6, port, "orders", WriteText, 10);
   SleepMs(2000);
-  const double end = NowMs() + 8000;
-  std::vector<std::thread> floods;
-  floods.reserve(kFloods);
-  for (int number = 0; number < kFloods; ++number) {
-    floods.emplace_back(Flood, number, port, end);
-  }
-  for (std::thread& flood : floods) {
-    flood.join();
-  }
+  Flood(port, NowMs() + 8000);
   writers.Stop();
   SleepMs(500);
   std::set<std::string> committed;
@@ -382,6 +372,7 @@
 
 // The primary crashes while one replica drains and the other is deaf. LOST.
 int PlaySync() {
+  constexpr double kGreyPart = 0.4;
   GroupOptions options;
   options.sync_replicas = 1;
   Deployment world;
@@ -393,9 +384,12 @@
   Sessions writers("w", 6, world->machines.front()->Port(), "orders", WriteText,
                    20);
   SleepMs(3000);
+  const char* const trouble = getenv("TROUBLE");
+  const std::string variant = trouble == nullptr ? "" : trouble;
   if (Trouble()) {
-    if (std::string(getenv("TROUBLE") == nullptr ? "" : getenv("TROUBLE")) !=
-        "crash") {
+    if (variant == "grey") {
+      group->SetGrey(ids[1], kGreyPart);
+    } else if (variant != "crash") {
       group->SetDraining(ids[1]);
     }
     SleepMs(1000);
@@ -539,14 +533,21 @@
 
 int main(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ends, nullptr);
   if (argc != 3) {
     std::cerr << "usage: review-case NAME RECORD\n";
     return 2;
   }
   review::OpenRecord(argv[2]);
-  // No case takes this long. Nothing may be left behind if one does.
-  std::thread([]() {
-    review::SleepMs(100000);
+  // No process may be left behind if this one is ended, or if a case hangs. No
+  // case takes this long.
+  std::thread([ends]() {
+    const timespec limit{100, 0};
+    sigtimedwait(&ends, nullptr, &limit);
     review::Machine::KillAll();
     std::_Exit(2);
   }).detach();
--- a/review/standin/databases.cc
+++ b/review/standin/databases.cc
@@ -152,6 +152,13 @@
         (deaf ? " receives nothing from now on" : " receives again"));
 }
 
+void Group::SetGrey(const std::string& id, double part) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_databases[id].grey = part;
+  Write("database " + id + " fails " + std::to_string(part) +
+        " of its requests from now on");
+}
+
 std::string Group::Leader() {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_leader;
@@ -377,6 +384,10 @@
     words[0] = prepared->second;
   }
   const std::string verb = words[0];
+  if (database.grey > 0 &&
+      std::uniform_real_distribution<double>(0, 1)(m_random) < database.grey) {
+    return "ERROR BUSY " + session->database;
+  }
   const bool plain_begin = verb == "BEGIN" && words.size() == 1;
   if (session->failed && verb != "ROLLBACK" && verb != "COMMIT") {
     return "ERROR MALFORMED the transaction failed";
--- a/review/standin/databases.h
+++ b/review/standin/databases.h
@@ -62,6 +62,8 @@
   void SetDraining(const std::string& id);
   // A deaf replica receives nothing.
   void SetDeaf(const std::string& id, bool deaf);
+  // A grey database answers a part of its requests with BUSY.
+  void SetGrey(const std::string& id, double part);
   std::string Leader();
   std::vector<DatabaseCommit> Commits();
   std::vector<DatabaseRun> Runs();
@@ -86,6 +88,7 @@
     bool leads = false;
     bool draining = false;
     bool deaf = false;
+    double grey = 0;
     uint64_t term = 1;
     uint64_t sequence = 0;
     std::vector<size_t> log;  // Places in m_commits.
@@ -134,7 +137,7 @@
   std::vector<DatabaseCommit> m_commits;
   std::vector<std::string> m_values;  // Of m_commits: item, blank, data.
   std::vector<DatabaseRun> m_runs;
-  std::mt19937 m_random{7};
+  std::mt19937 m_random{std::random_device()()};
 };
 
 }  // namespace review
