gateway: Promote only targets that have all acknowledged commits

With syncReplicas 1, callers lost about 250 acknowledged writes when a primary crashed while one replica drained and the other one lagged: the lagging one was promoted.

Cause: a change of primary asked only targets that do not drain, and took the most advanced one of those that answered once within 400 ms. The log that shows which commits were acknowledged may be that of a target that drains, is busy or silent, was rejected, has left the list for a moment or has restarted without its log. sync_replicas was used nowhere.

Change: ChoosePromotion() derives the least position that includes all acknowledged commits from the known logs, or says that it is not known. ReplicaTracker keeps the targets that may hold such commits. The change asks again until a target is safe, promotes a draining one if no other is, and keeps the old primary in a planned change. Without synchronous replicas the choice is as before.

With the statuses chosen as before, five of the new tests of LeadershipManager fail (11 checks).

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Source/base/hash.h"
+#include "Source/gateway/replica_tracker.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "glog/logging.h"
@@ -63,6 +64,9 @@
 // How long a change waits for a replica to receive the old primary's whole log.
 constexpr absl::Duration kCatchUpTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kStatusRetryDelay = absl::Milliseconds(60);
+// A planned change that found no safe candidate is tried again after this. The
+// old primary serves until then.
+constexpr absl::Duration kPlannedRetryDelay = absl::Seconds(4);
 constexpr absl::Duration kPromoteCallTimeout = absl::Milliseconds(800);
 // A promotion takes about a second. If it takes longer than this, the order is
 // considered lost.
@@ -103,6 +107,8 @@
   std::optional<TargetStatus> old_status;
   std::map<TargetId, TargetStatus> statuses;
   std::set<TargetId> rejected;  // The platform reported that they don't run.
+  // What was last logged on why no target can be promoted.
+  std::string logged_wait;
   // Members that did not confirm before their leases expired, with the versions
   // of their member rows. Their rows are deleted at the end of the change.
   std::map<InstanceId, uint64_t> expired_members;
@@ -135,6 +141,7 @@
   std::vector<InstanceId> voters;
   uint64_t voters_revision = 0;  // Of the members from which voters was made.
   bool probing = false;
+  ReplicaTracker replicas;  // Only kept with synchronous replicas.
   std::unique_ptr<PrimaryChange> change;
   std::unique_ptr<Timer> restart_timer;
   // Epoch of the newest change for which this instance began to quiesce.
@@ -484,8 +491,20 @@
   }
 }
 
+void LeadershipManager::UpdateReplicas(const GroupName& group) {
+  if (m_groups->SyncReplicas(group) > 0) {
+    StateOf(group).replicas.Update(
+        m_groups->Targets(group),
+        [this, &group](absl::Time time) {
+          return m_groups->PositionCovering(group, time);
+        },
+        m_loop->Now());
+  }
+}
+
 void LeadershipManager::CheckGroup(const GroupName& group) {
   const GroupLeader& leader = m_view.Leader(group);
+  UpdateReplicas(group);
   if (StateOf(group).change) {
     return;
   }
@@ -636,7 +655,11 @@
   }
   if (draining || state.primary_demoted) {
     state.stagger_start = std::min(state.stagger_start, now);
-    if (now >= state.stagger_start + Stagger(group)) {
+    // A planned change may just have ended with the same primary.
+    const bool retry_later = !state.primary_demoted && leader.planned &&
+                             m_groups->SyncReplicas(group) > 0 &&
+                             now < leader.seen + kPlannedRetryDelay;
+    if (now >= state.stagger_start + Stagger(group) && !retry_later) {
       state.stagger_start = absl::InfiniteFuture();
       StartChange(group, draining && !state.primary_demoted,
                   draining ? "draining" : "not_primary");
@@ -1039,6 +1062,20 @@
   return change_seen + kUnanimityLimit;
 }
 
+std::vector<TargetId> LeadershipManager::TargetsToQuery(
+    const GroupName& group,
+    const PrimaryChange& change) const {
+  const bool any_log_counts = m_groups->SyncReplicas(group) > 0;
+  std::vector<TargetId> targets;
+  for (const ListedTarget& target : m_groups->Targets(group)) {
+    if (any_log_counts || target.id == change.old_primary ||
+        (!target.draining && !change.rejected.contains(target.id))) {
+      targets.push_back(target.id);
+    }
+  }
+  return targets;
+}
+
 void LeadershipManager::CollectStatuses(const GroupName& group,
                                         uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
@@ -1047,13 +1084,7 @@
   }
   change->statuses.clear();
   change->old_status.reset();
-  std::vector<TargetId> queried;
-  for (const ListedTarget& target : m_groups->Targets(group)) {
-    if (!change->rejected.contains(target.id) &&
-        (!target.draining || target.id == change->old_primary)) {
-      queried.push_back(target.id);
-    }
-  }
+  const std::vector<TargetId> queried = TargetsToQuery(group, *change);
   change->statuses_pending = queried.size();
   if (queried.empty()) {
     change->rejected.clear();
@@ -1085,19 +1116,80 @@
   }
 }
 
+PromotionChoice LeadershipManager::ChooseFromStatuses(
+    const GroupName& group,
+    const PrimaryChange& change) {
+  const uint32_t sync_replicas = m_groups->SyncReplicas(group);
+  UpdateReplicas(group);
+  const ReplicaTracker& tracker = StateOf(group).replicas;
+  std::map<TargetId, ReplicaLog> replicas;
+  for (const ListedTarget& target : m_groups->Targets(group)) {
+    ReplicaLog replica;
+    replica.id = target.id;
+    replica.draining = target.draining;
+    replica.promotable = !change.rejected.contains(target.id);
+    const auto status = change.statuses.find(target.id);
+    if (status != change.statuses.end() &&
+        (sync_replicas == 0 ||
+         tracker.HasItsLog(target.id, status->second.received))) {
+      replica.received = status->second.received;
+    }
+    replicas[target.id] = replica;
+  }
+  if (sync_replicas > 0) {
+    for (const TargetId& id : tracker.Holders()) {
+      replicas.try_emplace(id, ReplicaLog{id, std::nullopt});
+    }
+  }
+  replicas.erase(change.old_primary);
+  std::vector<ReplicaLog> logs;
+  for (const auto& [id, replica] : replicas) {
+    logs.push_back(replica);
+  }
+  std::optional<Position> old_position;
+  if (change.old_status && change.old_status->primary) {
+    old_position = change.old_status->received;
+  }
+  return ChoosePromotion(sync_replicas, logs, old_position);
+}
+
+void LeadershipManager::KeepPrimary(const GroupName& group, uint64_t attempt) {
+  PrimaryChange* const change = FindChange(group, attempt);
+  LOG(INFO) << "event=primary_kept group=" << group
+            << " primary=" << change->old_primary;
+  change->candidate = change->old_primary;
+  change->candidate_term = change->old_status->term;
+  PublishLeader(group, attempt);
+}
+
+void LeadershipManager::AwaitCandidate(const GroupName& group,
+                                       uint64_t attempt,
+                                       const PromotionChoice& choice) {
+  PrimaryChange* const change = FindChange(group, attempt);
+  std::string wait = absl::StrCat(
+      "unknown_logs=", absl::StrJoin(choice.unknown, ","), " required=",
+      choice.required
+          ? absl::StrCat(choice.required->term, ".", choice.required->lsn)
+          : "unknown");
+  if (wait != change->logged_wait) {
+    LOG(WARNING) << "event=promotion_waits group=" << group
+                 << " sync_replicas=" << m_groups->SyncReplicas(group) << " "
+                 << wait;
+    change->logged_wait = std::move(wait);
+  }
+  // Targets that were rejected may run again.
+  change->rejected.clear();
+  RunStepAfter(group, attempt, kStatusRetryDelay,
+               &LeadershipManager::CollectStatuses);
+}
+
 void LeadershipManager::ChooseCandidate(const GroupName& group,
                                         uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
   const absl::Time now = m_loop->Now();
-  const TargetId* best = nullptr;
-  Position best_position;
   uint64_t highest_term = 0;
   for (const auto& [id, status] : change->statuses) {
     highest_term = std::max(highest_term, status.term);
-    if (best == nullptr || best_position < status.received) {
-      best = &id;
-      best_position = status.received;
-    }
   }
   // A promotion that an earlier holder ordered may have taken effect. A deposed
   // primary may still claim to lead, but in an older term.
@@ -1114,30 +1206,37 @@
   }
   // An unplanned change keeps the old primary if it still leads and no
   // promotion can take effect any more.
-  const bool old_leads = change->old_status && change->old_status->primary &&
-                         change->old_status->term >= highest_term;
-  if (!change->planned && old_leads &&
-      now >= change->promotion_possible_until) {
-    LOG(INFO) << "event=primary_kept group=" << group
-              << " primary=" << change->old_primary;
-    change->candidate = change->old_primary;
-    change->candidate_term = change->old_status->term;
-    PublishLeader(group, attempt);
+  const bool can_keep = change->old_status && change->old_status->primary &&
+                        change->old_status->term >= highest_term &&
+                        now >= change->promotion_possible_until;
+  if (!change->planned && can_keep) {
+    KeepPrimary(group, attempt);
     return;
   }
+  const PromotionChoice choice = ChooseFromStatuses(group, *change);
+  std::optional<TargetId> best = choice.target;
+  Position best_position = choice.received;
   // A promotion whose order was not answered may still take effect until
   // `promotion_possible_until` and could replace a second candidate, so the
   // first candidate is kept until that time.
   const auto ordered = change->statuses.find(change->candidate);
   if (ordered != change->statuses.end() &&
       now < change->promotion_possible_until) {
-    best = &ordered->first;
+    best = ordered->first;
     best_position = ordered->second.received;
   }
-  const bool behind = best != nullptr && change->old_status &&
+  const bool may_wait = now < change->collecting_since + kCatchUpTimeout;
+  const bool behind = best && change->old_status &&
                       best_position < change->old_status->received;
-  if (best == nullptr ||
-      (behind && now < change->collecting_since + kCatchUpTimeout)) {
+  if (!best && choice.required != Position{}) {
+    if (change->planned && can_keep && !may_wait) {
+      KeepPrimary(group, attempt);
+    } else {
+      AwaitCandidate(group, attempt, choice);
+    }
+    return;
+  }
+  if (!best || (behind && may_wait)) {
     RunStepAfter(group, attempt, kStatusRetryDelay,
                  &LeadershipManager::CollectStatuses);
     return;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "Source/base/types.h"
+#include "Source/decision/promotion_choice.h"
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/leadership_view.h"
@@ -40,6 +41,12 @@
       const TargetId& target,
       absl::Duration timeout,
       std::function<void(std::optional<TargetStatus>)> done) = 0;
+  // Number of replicas that receive a commit before it is acknowledged.
+  virtual uint32_t SyncReplicas(const GroupName& group) const = 0;
+  // The least known position that includes every commit which the group's
+  // primary acknowledged before `time`; nullopt if none is known.
+  virtual std::optional<Position> PositionCovering(const GroupName& group,
+                                                   absl::Time time) const = 0;
   // Ends all use of the group's primary and calls `done` once this instance has
   // nothing in flight there. In a planned change, open transactions get some
   // time to finish.
@@ -153,7 +160,19 @@
                                 const InstanceId& unresponsive,
                                 const std::vector<InstanceId>& missing) const;
   void CollectStatuses(const GroupName& group, uint64_t attempt);
+  // The targets whose statuses the change needs.
+  std::vector<TargetId> TargetsToQuery(const GroupName& group,
+                                       const PrimaryChange& change) const;
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
+  PromotionChoice ChooseFromStatuses(const GroupName& group,
+                                     const PrimaryChange& change);
+  // Ends the change with the old primary still in use.
+  void KeepPrimary(const GroupName& group, uint64_t attempt);
+  // Queries the targets again later, because none can be promoted safely.
+  void AwaitCandidate(const GroupName& group,
+                      uint64_t attempt,
+                      const PromotionChoice& choice);
+  void UpdateReplicas(const GroupName& group);
   void SendPromotion(const GroupName& group, uint64_t attempt);
   void AwaitPrimary(const GroupName& group, uint64_t attempt);
   void PublishLeader(const GroupName& group, uint64_t attempt);
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -26,6 +26,8 @@
   bool alive = true;
   bool draining = false;
   bool listed = true;
+  int64_t started_unix_ms = 1;
+  int busy_statuses = 0;  // Status queries that are refused before the next.
   TargetStatus status;
 };
 
@@ -86,6 +88,8 @@
           ListedTarget target;
           target.id = id;
           target.group = group;
+          target.address = id;
+          target.started_unix_ms = database.started_unix_ms;
           target.draining = database.draining;
           target.claims_primary = database.status.primary;
           targets.push_back(target);
@@ -106,13 +110,23 @@
         absl::Duration timeout,
         std::function<void(std::optional<TargetStatus>)> done) override {
       const bool reached = Reaches(target);
-      m_cluster->m_loop.Add(
-          reached ? absl::Milliseconds(3) : timeout,
-          [this, target, reached, done = std::move(done)]() {
-            done(reached && Reaches(target)
-                     ? std::optional(m_cluster->m_databases.at(target).status)
-                     : std::nullopt);
-          });
+      m_cluster->m_loop.Add(reached ? absl::Milliseconds(3) : timeout,
+                            [this, target, reached, done = std::move(done)]() {
+                              FakeDatabase& database =
+                                  m_cluster->m_databases.at(target);
+                              const bool busy = database.busy_statuses > 0;
+                              database.busy_statuses -= busy ? 1 : 0;
+                              done(reached && Reaches(target) && !busy
+                                       ? std::optional(database.status)
+                                       : std::nullopt);
+                            });
+    }
+    uint32_t SyncReplicas(const GroupName&) const override {
+      return m_cluster->sync_replicas;
+    }
+    std::optional<Position> PositionCovering(const GroupName&,
+                                             absl::Time) const override {
+      return std::nullopt;
     }
     void Quiesce(const GroupName&,
                  bool planned,
@@ -275,6 +289,7 @@
   std::vector<TargetId> promoted;
   bool lose_promotion_answer = false;  // Applies to the next promotion only.
   absl::Duration poll_delay;  // Used by instances that are added later.
+  uint32_t sync_replicas = 0;
 
  private:
   std::map<std::string, std::unique_ptr<Instance>> m_instances;
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -21,6 +21,15 @@
     REQUIRE(m_cluster->AllUse("g0", "g0-db0"));
   }
 
+  // The group g0 has a primary whose commits, up to {1, 10}, were acknowledged
+  // because g0-db1 received them. g0-db2 lacks the last ones.
+  void StartWithSyncReplica() {
+    Start(3);
+    m_cluster->sync_replicas = 1;
+    m_cluster->m_databases["g0-db1"].status.received = {1, 10};
+    m_cluster->RunFor(absl::Seconds(1));
+  }
+
   std::unique_ptr<LeadershipCluster> m_cluster;
 };
 
@@ -146,6 +155,85 @@
   CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db2"});
 }
 
+// Acknowledged commits were lost with synchronous replicas: the replica that
+// had received them was draining, and one that lacked them was promoted.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_OnlyDrainingHasCommits_IsPromoted") {
+  StartWithSyncReplica();
+  m_cluster->m_databases["g0-db1"].draining = true;
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(3));
+  REQUIRE_FALSE(m_cluster->promoted.empty());
+  CHECK(m_cluster->promoted.front() == "g0-db1");
+}
+
+// The same with a replica that refuses one status query.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_ReplicaWithCommitsIsBusy_IsAskedAgain") {
+  StartWithSyncReplica();
+  m_cluster->m_databases["g0-db1"].busy_statuses = 3;
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(4));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+}
+
+// The same with a replica that answers nobody for a while, or crashes and comes
+// back.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_ReplicaWithCommitsIsAway_IsAwaited") {
+  for (const bool listed : {true, false}) {
+    CAPTURE(listed);
+    StartWithSyncReplica();
+    FakeDatabase& away = m_cluster->m_databases["g0-db1"];
+    away.alive = false;
+    away.listed = listed;
+    m_cluster->m_databases["g0-db0"].alive = false;
+    m_cluster->RunFor(absl::Seconds(8));
+    CHECK(m_cluster->promoted.empty());
+    away.alive = true;
+    away.listed = true;
+    m_cluster->RunFor(absl::Seconds(8));
+    CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+  }
+}
+
+// The same with a replica that has restarted without its log. The old primary
+// has the commits and comes back.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_ReplicaWithCommitsLosesLog_IsNotTrusted") {
+  StartWithSyncReplica();
+  FakeDatabase& restarted = m_cluster->m_databases["g0-db1"];
+  restarted.started_unix_ms = 2;
+  restarted.status.received = {1, 0};
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.empty());
+  m_cluster->m_databases["g0-db0"].alive = true;
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted.empty());
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// A draining primary serves on while no replica is known to have all
+// acknowledged commits.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_PrimaryDrainsNoReplicaSafe_KeepsIt") {
+  StartWithSyncReplica();
+  m_cluster->m_databases["g0-db1"].alive = false;
+  m_cluster->m_databases["g0-db2"].status.received = {1, 5};
+  m_cluster->m_databases["g0-db0"].draining = true;
+  int steps_in_use = 0;
+  for (int step = 0; step < 100; ++step) {
+    m_cluster->RunFor(absl::Milliseconds(100));
+    steps_in_use += m_cluster->AllUse("g0", "g0-db0") ? 1 : 0;
+  }
+  CHECK(m_cluster->promoted.empty());
+  CHECK(steps_in_use > 50);
+  m_cluster->m_databases["g0-db2"].status.received = {1, 10};
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db2"});
+}
+
 TEST_CASE_FIXTURE(ClusterFixture,
                   "LeadershipManager_AnswerLostAndChangeStoredLate_Recovers") {
   Start(2);
