gateway: Use a promoted target only in its new term

Cause: the holder of a change waited for the promoted target to state that it leads, in whatever term. A deposed primary states this for a second or more. When its successor failed within that time and the deposed one was promoted again, its old claim ended the wait, and all instances used it while it led in a term that was over.

Change: the wait asks for a term above every term known when the promotion was ordered. A demoted old primary in its successor's term no longer hides the successor from a second holder. The fake of the tests leaves the present primary as it is when it is promoted again, as the pages say.

Without the first part, LeadershipManager_DeposedPrimaryPromotedAgain_* fails 20 checks; without the second, LeadershipManager_HolderDiesOldPrimaryFollows_* fails.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -118,6 +118,9 @@
   std::map<InstanceId, absl::Time> unanimity_impossible_since;
   TargetId candidate;
   uint64_t candidate_term = 0;  // Set once the candidate is known to lead.
+  // Highest term known when the promotion was ordered. The promoted target
+  // leads in a higher one.
+  uint64_t term_before_promotion = 0;
   absl::Time promotion_sent_at;
   // A promotion that was ordered may still take effect until this time, so the
   // old primary must not be kept before it.
@@ -1194,10 +1197,11 @@
   // A promotion that an earlier holder ordered may have taken effect. A deposed
   // primary may still claim to lead, but in an older term.
   const uint64_t replaced_term = m_view.Leader(group).term;
+  const bool old_claims = change->old_status && change->old_status->primary;
   for (const auto& [id, status] : change->statuses) {
     if (status.primary && status.term >= highest_term &&
         status.term > replaced_term &&
-        (!change->old_status || change->old_status->term < status.term)) {
+        (!old_claims || change->old_status->term < status.term)) {
       change->candidate = id;
       change->candidate_term = status.term;
       PublishLeader(group, attempt);
@@ -1206,7 +1210,7 @@
   }
   // An unplanned change keeps the old primary if it still leads and no
   // promotion can take effect any more.
-  const bool can_keep = change->old_status && change->old_status->primary &&
+  const bool can_keep = old_claims &&
                         change->old_status->term >= highest_term &&
                         now >= change->promotion_possible_until;
   if (!change->planned && can_keep) {
@@ -1242,6 +1246,7 @@
     return;
   }
   change->candidate = *best;
+  change->term_before_promotion = std::max(highest_term, replaced_term);
   LOG(INFO) << "event=candidate group=" << group << " target=" << *best
             << " term=" << best_position.term << " lsn=" << best_position.lsn
             << " candidates=" << change->statuses.size()
@@ -1306,7 +1311,10 @@
                           if (awaited == nullptr) {
                             return;
                           }
-                          if (status && status->primary) {
+                          // A deposed primary that is promoted again claims to
+                          // lead before the promotion takes effect.
+                          if (status && status->primary &&
+                              status->term > awaited->term_before_promotion) {
                             awaited->candidate_term = status->term;
                             PublishLeader(group, attempt);
                             return;
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -260,6 +260,9 @@
         }
       }
       TargetStatus& status = m_databases[target].status;
+      if (status.primary && status.term == term) {
+        return;  // The present primary stays as it is.
+      }
       status.primary = true;
       status.term = term + 1;
       status.received = {term + 1, status.received.lsn + 1};
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -304,6 +304,55 @@
   CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1", "g0-db0"});
 }
 
+// Real processes that restarted often acknowledged writes at a deposed primary:
+// it was promoted again after its successor had failed, and its old claim to
+// lead was taken for the result of the promotion.
+TEST_CASE_FIXTURE(
+    ClusterFixture,
+    "LeadershipManager_DeposedPrimaryPromotedAgain_UsedInNewTermOnly") {
+  Start(3);
+  m_cluster->m_databases["g0-db2"].alive = false;
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(4));
+  REQUIRE(m_cluster->AllUse("g0", "g0-db1"));
+  const FakeDatabase& deposed = m_cluster->m_databases["g0-db0"];
+  m_cluster->m_databases["g0-db0"].alive = true;
+  m_cluster->m_databases["g0-db1"].alive = false;
+  for (int step = 0; step < 600; ++step) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+    const bool used =
+        m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db0";
+    CHECK((!used || deposed.status.term > 2));
+  }
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1", "g0-db0"});
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// A demoted primary follows its successor in the same term.
+TEST_CASE_FIXTURE(
+    ClusterFixture,
+    "LeadershipManager_HolderDiesOldPrimaryFollows_SuccessorIsPublished") {
+  Start(3);
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).unreachable.insert("g0-db0");
+  }
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(10));
+  }
+  m_cluster->Kill(m_cluster->At(0).Manager().View().Leader("g0").holder);
+  m_cluster->RunFor(absl::Milliseconds(1100));
+  TargetStatus& old_primary = m_cluster->m_databases["g0-db0"].status;
+  old_primary.primary = false;
+  old_primary.term = 2;
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    if (m_cluster->Find(name) != nullptr) {
+      m_cluster->Find(name)->unreachable.clear();
+    }
+  }
+  m_cluster->RunFor(absl::Seconds(12));
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 // Random-fault runs showed a working primary that was replaced on a tie of two
 // votes. An instance that had been cut off voted against the primary before it
 // could open a connection to the primary.
