--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -267,7 +267,7 @@
                json{{"service", m_service},
                     {"address", m_route ? m_route(address) : address},
                     {"zone", "z-a"},
-                    {"state", "ready"},
+                    {"state", database.draining ? "draining" : "ready"},
                     {"dbRole", database.is_primary ? "primary" : "replica"}}
                    .dump());
 }
@@ -322,6 +322,14 @@
   }
 }
 
+void FakeDatabaseGroup::SetDraining(const std::string& id, bool draining) {
+  absl::MutexLock lock(&m_mutex);
+  m_databases[id].draining = draining;
+  if (m_databases[id].alive) {
+    Register(id);
+  }
+}
+
 void FakeDatabaseGroup::Crash(const std::string& id) {
   {
     absl::MutexLock lock(&m_mutex);
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -125,7 +125,9 @@
                     FakeGroupOptions options = {},
                     Route route = nullptr);
 
+  const std::string& Name() const { return m_service; }
   void Promote(const std::string& id);
+  void SetDraining(const std::string& id, bool draining);
   // Stops the database; connections are refused until it is restarted.
   void Crash(const std::string& id);
   // Starts the database again with the log that it had.
@@ -147,6 +149,7 @@
   struct Database {
     std::unique_ptr<LoopbackServer> server;
     bool alive = true;
+    bool draining = false;
     bool is_primary = false;
     uint64_t term = 1;        // The term that it leads or follows.
     std::vector<size_t> log;  // Indices into m_commits.
--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include <atomic>
 #include <exception>
 #include <filesystem>
 #include <functional>
@@ -51,6 +52,9 @@
   int seed = 1;
   int seconds = 20;
   int instances = 4;
+  int groups = 1;
+  // Ends and starts instances far more often than other faults occur.
+  bool restart_often = false;
   std::string program;
 };
 
@@ -92,22 +96,37 @@
   return !error && response.result_int() == 200;
 }
 
-std::string Configuration(int version) {
-  const auto route = [](const char* host, const char* type,
-                        absl::Duration max_staleness) {
-    return absl::StrCat(R"({"name":")", host, R"(","host":")", host,
-                        R"(","type":")", type, R"(","maxStalenessMs":)",
-                        absl::ToInt64Milliseconds(max_staleness),
-                        R"(,"timeoutMs":1500,"targetLatencyMs":200,)",
-                        R"("priority":1,"service":"s"})");
+std::string GroupNameAt(int index) {
+  return absl::StrCat("s", index);
+}
+
+std::string Configuration(int version, int groups) {
+  std::vector<std::string> routes;
+  std::vector<std::string> services;
+  const auto add_route = [&](CallerKind kind, const char* type,
+                             absl::Duration max_staleness,
+                             const std::string& group) {
+    const std::string host = DatabaseName(kind, group);
+    routes.push_back(absl::StrCat(
+        R"({"name":")", host, R"(","host":")", host, R"(","type":")", type,
+        R"(","maxStalenessMs":)", absl::ToInt64Milliseconds(max_staleness),
+        R"(,"timeoutMs":1500,"targetLatencyMs":200,)",
+        R"("priority":1,"service":")", group, R"("})"));
   };
+  for (int index = 0; index < groups; ++index) {
+    const std::string group = GroupNameAt(index);
+    add_route(CallerKind::kOrders, "primary", absl::ZeroDuration(), group);
+    add_route(CallerKind::kStock, "read_your_writes", kStockMaxStaleness,
+              group);
+    add_route(CallerKind::kViews, "bounded_staleness", kViewsMaxStaleness,
+              group);
+    services.push_back(
+        absl::StrCat(R"({"name":")", group, R"(","maxConnections":60})"));
+  }
   return absl::StrCat(R"({"version":)", version, R"(,"routes":[)",
-                      route("orders", "primary", absl::ZeroDuration()), ",",
-                      route("stock", "read_your_writes", kStockMaxStaleness),
-                      ",",
-                      route("views", "bounded_staleness", kViewsMaxStaleness),
-                      R"(],"services":[{"name":"s","maxConnections":60}],)",
-                      R"("limits":{"txIdleMs":3000}})");
+                      absl::StrJoin(routes, ","), R"(],"services":[)",
+                      absl::StrJoin(services, ","),
+                      R"(],"limits":{"txIdleMs":3000}})");
 }
 
 class Soak {
@@ -128,6 +147,11 @@
   // Injects one random fault.
   void InjectFault();
   void InjectInstanceFault(InstanceProcess* instance, uint32_t kind);
+  void AddGroup(const std::string& name);
+  void CrashDatabase(FakeDatabaseGroup* group, absl::Time end);
+  void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
+  // The commits of all groups, each group's in order.
+  std::vector<FakeCommit> Commits();
   // Ends the faults whose end lies at or before `until`.
   void EndFaults(absl::Time until);
   void RestartExitedInstances();
@@ -147,9 +171,10 @@
   FakeStore* const m_store = new FakeStore();
   std::vector<FaultProxy*> m_store_links;
   std::map<std::string, FaultProxy*> m_database_links;
-  FakeDatabaseGroup* m_group = nullptr;
+  std::vector<FakeDatabaseGroup*> m_groups;
   std::vector<std::unique_ptr<InstanceProcess>> m_instances;
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
+  std::atomic<size_t> m_last_holder = 0;  // Index of the last to promote.
   std::vector<ScheduledEnd> m_scheduled_ends;
   std::vector<std::string> m_violations;
   int m_configuration_version = 1;
@@ -160,23 +185,28 @@
   std::string pattern =
       (std::filesystem::temp_directory_path() / "heatherwick-soak-XXXXXX");
   m_directory = mkdtemp(pattern.data());
-  m_group = new FakeDatabaseGroup(
-      "s", kDatabaseCount, m_store, {kReplicaLag, kPromotionTime},
-      [this](const std::string& address) {
-        FaultProxy*& link = m_database_links[address];
-        if (link == nullptr) {
-          link = new FaultProxy(address);
-        }
-        return link->Address();
-      });
-  m_store->on_promote = [this](const std::string&, const std::string& id) {
-    m_group->Promote(id);
+  for (int index = 0; index < options.groups; ++index) {
+    AddGroup(GroupNameAt(index));
+  }
+  m_store->on_promote = [this](const std::string& service,
+                               const std::string& id) {
+    for (FakeDatabaseGroup* group : m_groups) {
+      if (group->Name() == service) {
+        group->Promote(id);
+      }
+    }
     return 200U;
   };
   m_store->on_token = [this](const std::string& holder, uint64_t token) {
     m_history.AddPromotion({holder, token});
+    for (size_t index = 0; index < m_instances.size(); ++index) {
+      if (m_instances[index]->Name() == holder) {
+        m_last_holder = index;
+      }
+    }
   };
-  m_store->Put("op", "config", Configuration(m_configuration_version));
+  m_store->Put("op", "config",
+               Configuration(m_configuration_version, options.groups));
   std::vector<uint16_t> ports;
   for (int index = 0; index < options.instances; ++index) {
     m_store_links.push_back(new FaultProxy(m_store->Address()));
@@ -191,18 +221,43 @@
     m_instances.push_back(std::make_unique<InstanceProcess>(settings));
     m_instances.back()->Start();
   }
-  std::vector<std::string> items;
-  for (const CallerKind kind :
-       {CallerKind::kOrders, CallerKind::kStock, CallerKind::kViews}) {
-    for (size_t index = 0; index < kCallersPerKind; ++index) {
-      const std::string item = absl::StrCat("k", items.size());
-      m_callers.push_back(std::make_unique<SoakCaller>(kind, item, items, ports,
-                                                       m_random(), &m_history));
-      items.push_back(item);
+  size_t item_count = 0;
+  for (const FakeDatabaseGroup* group : m_groups) {
+    std::vector<std::string> items;
+    for (const CallerKind kind :
+         {CallerKind::kOrders, CallerKind::kStock, CallerKind::kViews}) {
+      for (size_t index = 0; index < kCallersPerKind; ++index) {
+        const std::string item = absl::StrCat("k", item_count++);
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            kind, group->Name(), item, items, ports, m_random(), &m_history));
+        items.push_back(item);
+      }
     }
   }
 }
 
+void Soak::AddGroup(const std::string& name) {
+  m_groups.push_back(new FakeDatabaseGroup(
+      name, kDatabaseCount, m_store, {kReplicaLag, kPromotionTime},
+      [this](const std::string& address) {
+        FaultProxy*& link = m_database_links[address];
+        if (link == nullptr) {
+          link = new FaultProxy(address);
+        }
+        return link->Address();
+      }));
+}
+
+std::vector<FakeCommit> Soak::Commits() {
+  std::vector<FakeCommit> all;
+  for (FakeDatabaseGroup* group : m_groups) {
+    for (FakeCommit& commit : group->Commits()) {
+      all.push_back(std::move(commit));
+    }
+  }
+  return all;
+}
+
 void Soak::PrintEvent(const std::string& event) {
   std::cout << absl::ToInt64Milliseconds(SteadyNow() - m_start) << " ms "
             << event << std::endl;
@@ -233,6 +288,23 @@
   }
 }
 
+void Soak::CrashDatabase(FakeDatabaseGroup* group, absl::Time end) {
+  const std::string primary = group->Primary();
+  const std::string any = group->Names()[RandomBelow(kDatabaseCount)];
+  const std::string id = RandomBelow(2) == 0 ? primary : any;
+  PrintEvent(absl::StrCat("crash ", id));
+  group->Crash(id);
+  m_scheduled_ends.push_back({end, [group, id]() { group->Restart(id); }});
+}
+
+void Soak::DrainDatabase(FakeDatabaseGroup* group, absl::Time end) {
+  const std::string id = group->Primary();
+  PrintEvent(absl::StrCat("drain ", id));
+  group->SetDraining(id, true);
+  m_scheduled_ends.push_back(
+      {end, [group, id]() { group->SetDraining(id, false); }});
+}
+
 void Soak::InjectFault() {
   static constexpr LinkFault kFaults[] = {
       LinkFault::kDelayed, LinkFault::kSilent, LinkFault::kAnswersLost};
@@ -248,7 +320,31 @@
         {end, [link]() { link->SetFault(LinkFault::kNone); }});
   };
   const size_t instance_index = RandomBelow(m_instances.size());
-  switch (RandomBelow(9)) {
+  FakeDatabaseGroup* const group = m_groups[RandomBelow(m_groups.size())];
+  const uint32_t extra = m_options.restart_often ? RandomBelow(10) : 10;
+  if (extra < 4) {
+    // Often the instance that carries out a change.
+    const size_t holder = m_last_holder;
+    const size_t index = RandomBelow(2) == 0 ? holder : instance_index;
+    const uint32_t kind = RandomBelow(5);
+    InjectInstanceFault(m_instances[index].get(), kind <= 2 ? kind : 0);
+    return;
+  }
+  if (extra < 8) {
+    if (RandomBelow(2) == 0) {
+      CrashDatabase(group, end);
+    } else {
+      DrainDatabase(group, end);
+    }
+    return;
+  }
+  switch (RandomBelow(m_options.groups > 1 ? 11 : 9)) {
+    case 9:
+      DrainDatabase(group, end);
+      break;
+    case 10:
+      CrashDatabase(group, end);
+      break;
     case 0:
     case 1:
     case 2:
@@ -271,15 +367,9 @@
       link->second->Reset();
       break;
     }
-    case 6: {
-      const std::string id =
-          RandomBelow(2) == 0 ? m_group->Primary()
-                              : m_group->Names()[RandomBelow(kDatabaseCount)];
-      PrintEvent("crash " + id);
-      m_group->Crash(id);
-      m_scheduled_ends.push_back({end, [this, id]() { m_group->Restart(id); }});
+    case 6:
+      CrashDatabase(group, end);
       break;
-    }
     case 7:
       PrintEvent("the store loses answers");
       m_store->LoseAnswers(2 + RandomBelow(4));
@@ -293,7 +383,9 @@
             {end, [this]() { m_store->SetBusy(false); }});
       } else {
         PrintEvent("change the configuration");
-        m_store->Put("op", "config", Configuration(++m_configuration_version));
+        m_store->Put(
+            "op", "config",
+            Configuration(++m_configuration_version, m_options.groups));
       }
       break;
   }
@@ -357,7 +449,9 @@
     if (SteadyNow() >= next_fault) {
       InjectFault();
       next_fault = SteadyNow() +
-                   absl::Milliseconds(RandomBelow(kMaxPauseBetweenFaultsMs));
+                   absl::Milliseconds(RandomBelow(
+                       m_options.restart_often ? kMaxPauseBetweenFaultsMs / 2
+                                               : kMaxPauseBetweenFaultsMs));
     }
     EndFaults(SteadyNow());
     RestartExitedInstances();
@@ -373,15 +467,16 @@
   }
   m_callers.clear();
   m_instances.clear();
-  for (std::string& violation : m_history.Check(m_group->Commits())) {
+  for (std::string& violation : m_history.Check(Commits())) {
     m_violations.push_back(std::move(violation));
   }
-  PrintEvent(m_history.Summary(m_group->Commits()));
+  PrintEvent(m_history.Summary(Commits()));
   return m_violations;
 }
 
 bool ParseOptions(int argc, const char** argv, Options* options) {
   char* program = nullptr;
+  int restart_often = 0;
   const poptOption table[] = {
       {"seed", 's', POPT_ARG_INT, &options->seed, 0, "Seed of the faults.",
        "NUMBER"},
@@ -389,6 +484,10 @@
        "Time with faults, in seconds.", "SECONDS"},
       {"instances", 'n', POPT_ARG_INT, &options->instances, 0,
        "Processes to start.", "NUMBER"},
+      {"groups", 'g', POPT_ARG_INT, &options->groups, 0, "Groups of databases.",
+       "NUMBER"},
+      {"restart-often", 'r', POPT_ARG_NONE, &restart_often, 0,
+       "End and start instances far more often.", nullptr},
       {"program", 'p', POPT_ARG_STRING, &program, 0,
        "The heatherwick-platform to start.", "PATH"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -396,16 +495,19 @@
       poptGetContext("heatherwick-soak", argc, argv, table, 0);
   const int parsed = poptGetNextOpt(context);
   options->program = program == nullptr ? "" : program;
+  options->restart_often = restart_often != 0;
   free(program);
   if (parsed < -1) {
     std::cerr << "heatherwick-soak: " << poptStrerror(parsed) << ": "
               << poptBadOption(context, 0) << "\n";
-  } else if (options->program.empty() || options->instances < 1) {
+  } else if (options->program.empty() || options->instances < 1 ||
+             options->groups < 1) {
     std::cerr << "heatherwick-soak: --program names the heatherwick-platform "
-                 "to start; --instances is at least 1\n";
+                 "to start; --instances and --groups are at least 1\n";
   }
   poptFreeContext(context);
-  return parsed == -1 && !options->program.empty() && options->instances > 0;
+  return parsed == -1 && !options->program.empty() && options->instances > 0 &&
+         options->groups > 0;
 }
 
 int Main(int argc, const char** argv) {
--- a/Tests/platform/soak/soak_caller.cc
+++ b/Tests/platform/soak/soak_caller.cc
@@ -128,13 +128,20 @@
   bool m_closed = false;
 };
 
+std::string DatabaseName(CallerKind kind, const std::string& group) {
+  static constexpr const char* kNames[] = {"orders", "stock", "views"};
+  return absl::StrCat(kNames[static_cast<size_t>(kind)], "-", group);
+}
+
 SoakCaller::SoakCaller(CallerKind kind,
+                       std::string group,
                        std::string item,
                        std::vector<std::string> read_items,
                        std::vector<uint16_t> ports,
                        uint32_t seed,
                        CallHistory* history)
     : m_kind(kind),
+      m_group(std::move(group)),
       m_item(std::move(item)),
       m_read_items(std::move(read_items)),
       m_ports(std::move(ports)),
@@ -165,10 +172,9 @@
 }
 
 bool SoakCaller::Connect() {
-  static constexpr const char* kDatabases[] = {"orders", "stock", "views"};
   m_connection = std::make_unique<Connection>();
   if (!m_connection->Open(m_ports[RandomBelow(m_ports.size())],
-                          kDatabases[static_cast<size_t>(m_kind)])) {
+                          DatabaseName(m_kind, m_group))) {
     m_connection.reset();
     return false;
   }
--- a/Tests/platform/soak/soak_caller.h
+++ b/Tests/platform/soak/soak_caller.h
@@ -24,11 +24,16 @@
 inline constexpr absl::Duration kStockMaxStaleness = absl::Milliseconds(2500);
 inline constexpr absl::Duration kViewsMaxStaleness = absl::Milliseconds(1500);
 
+// The name under which callers of this kind reach the group.
+std::string DatabaseName(CallerKind kind, const std::string& group);
+
 class SoakCaller {
  public:
-  // The caller writes and reads `item`, which no other caller writes. A kViews
-  // caller only reads, and reads from `read_items`.
+  // The caller uses the database of its kind in the group `group`. It writes
+  // and reads `item`, which no other caller writes. A kViews caller only reads,
+  // and reads from `read_items`.
   SoakCaller(CallerKind kind,
+             std::string group,
              std::string item,
              std::vector<std::string> read_items,
              std::vector<uint16_t> ports,
@@ -53,6 +58,7 @@
   uint32_t RandomBelow(uint32_t limit) { return m_random() % limit; }
 
   const CallerKind m_kind;
+  const std::string m_group;
   const std::string m_item;
   const std::vector<std::string> m_read_items;
   const std::vector<uint16_t> m_ports;
