gateway: Promote the old primary again before it is kept

Cause: a change that did not see its promotion take effect, or that was taken over, kept the old primary 3 s later if it claimed to lead in the highest term that any target showed.

Change: once a promotion may have been ordered, the old primary is ordered to be promoted itself, and is used in a new term, or in its own once 1.5 s have passed: for the present primary the order changes nothing. Other replicas are preferred within the first 3 s as before.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -71,6 +71,10 @@
 // A promotion takes about a second. If it takes longer than this, the order is
 // considered lost.
 constexpr absl::Duration kPromotionTimeout = absl::Milliseconds(3000);
+// An order to promote the present primary changes nothing, so that the primary
+// stays in its term. After this time the order has been carried out. Together
+// with kPromotionTimeout it is shorter than kTakeoverAfter.
+constexpr absl::Duration kPromotionSettleTime = absl::Milliseconds(1500);
 constexpr absl::Duration kStopTimeout = absl::Milliseconds(500);
 // A member row shows that its instance knows every member whose row was in the
 // table before it. A row needs to be newer than this many others, or all of
@@ -122,8 +126,12 @@
   // leads in a higher one.
   uint64_t term_before_promotion = 0;
   absl::Time promotion_sent_at;
-  // A promotion that was ordered may still take effect until this time, so the
-  // old primary must not be kept before it.
+  // A promotion was ordered since the leader row was open, by this instance or,
+  // for all that it knows, by an earlier holder. It may have deposed the old
+  // primary unnoticed.
+  bool promotion_may_be_ordered = false;
+  // Such a promotion may still take effect until this time, so the old primary
+  // must not be kept before it.
   absl::Time promotion_possible_until = absl::InfinitePast();
   std::unique_ptr<Timer> timer;
 };
@@ -916,6 +924,7 @@
   change.publication_sent_at = m_loop->Now();
   if (leader.phase == LeaderPhase::kChanging) {
     // An earlier holder or an earlier attempt may have ordered a promotion.
+    change.promotion_may_be_ordered = true;
     change.promotion_possible_until = m_loop->Now() + kPromotionTimeout;
   }
   GroupLeader next = leader;
@@ -1159,9 +1168,16 @@
 void LeadershipManager::KeepPrimary(const GroupName& group, uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
   LOG(INFO) << "event=primary_kept group=" << group
-            << " primary=" << change->old_primary;
+            << " primary=" << change->old_primary
+            << " promoted_again=" << change->promotion_may_be_ordered;
   change->candidate = change->old_primary;
   change->candidate_term = change->old_status->term;
+  if (change->promotion_may_be_ordered) {
+    // Makes it the primary again if it has been deposed.
+    change->term_before_promotion = change->old_status->term;
+    SendPromotion(group, attempt);
+    return;
+  }
   PublishLeader(group, attempt);
 }
 
@@ -1265,6 +1281,7 @@
                   "promotion lock lease expired");
     return;
   }
+  change->promotion_may_be_ordered = true;
   change->promotion_sent_at = m_loop->Now();
   change->promotion_possible_until =
       change->promotion_sent_at + kPromoteCallTimeout + kPromotionTimeout;
@@ -1293,6 +1310,18 @@
       });
 }
 
+bool LeadershipManager::LeadsAfterPromotion(const PrimaryChange& change,
+                                            const TargetStatus& status) const {
+  // A deposed primary that is promoted again claims to lead before the
+  // promotion takes effect.
+  const bool settled =
+      change.candidate == change.old_primary &&
+      status.term == change.term_before_promotion &&
+      m_loop->Now() >= change.promotion_sent_at + kPromotionSettleTime;
+  return status.primary &&
+         (status.term > change.term_before_promotion || settled);
+}
+
 void LeadershipManager::AwaitPrimary(const GroupName& group, uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
   if (change == nullptr) {
@@ -1303,25 +1332,23 @@
                   "the promotion did not take effect in time");
     return;
   }
-  m_groups->QueryStatus(group, change->candidate, kStatusTimeout,
-                        [this, group, attempt, alive = m_alive](
-                            const std::optional<TargetStatus>& status) {
-                          PrimaryChange* const awaited =
-                              *alive ? FindChange(group, attempt) : nullptr;
-                          if (awaited == nullptr) {
-                            return;
-                          }
-                          // A deposed primary that is promoted again claims to
-                          // lead before the promotion takes effect.
-                          if (status && status->primary &&
-                              status->term > awaited->term_before_promotion) {
-                            awaited->candidate_term = status->term;
-                            PublishLeader(group, attempt);
-                            return;
-                          }
-                          RunStepAfter(group, attempt, kStatusRetryDelay,
-                                       &LeadershipManager::AwaitPrimary);
-                        });
+  m_groups->QueryStatus(
+      group, change->candidate, kStatusTimeout,
+      [this, group, attempt,
+       alive = m_alive](const std::optional<TargetStatus>& status) {
+        PrimaryChange* const awaited =
+            *alive ? FindChange(group, attempt) : nullptr;
+        if (awaited == nullptr) {
+          return;
+        }
+        if (status && LeadsAfterPromotion(*awaited, *status)) {
+          awaited->candidate_term = status->term;
+          PublishLeader(group, attempt);
+          return;
+        }
+        RunStepAfter(group, attempt, kStatusRetryDelay,
+                     &LeadershipManager::AwaitPrimary);
+      });
 }
 
 void LeadershipManager::PublishLeader(const GroupName& group,
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -174,6 +174,9 @@
                       const PromotionChoice& choice);
   void UpdateReplicas(const GroupName& group);
   void SendPromotion(const GroupName& group, uint64_t attempt);
+  // True if the status shows that the promotion has taken effect.
+  bool LeadsAfterPromotion(const PrimaryChange& change,
+                           const TargetStatus& status) const;
   void AwaitPrimary(const GroupName& group, uint64_t attempt);
   void PublishLeader(const GroupName& group, uint64_t attempt);
   void RestartChange(const GroupName& group,
