platform: Reject unusable entries one by one

Operators of similar systems lost more than one entry to an odd one in the list of databases. Looked for here: an entry with port 0 or 65,536, a host name or an id with a line end was listed and connected to; numbers outside their type were converted silently; a service with one wrong number rejected a whole configuration; an entry that became invalid stayed in use until the table was read anew; a bad entry that is renewed filled the log.

Ruled out: deep nesting (30,000 levels) and bytes that are not UTF-8, which the parser already survived.

Targets of groups that no configuration names get no connection.

--- a/Source/gateway/configuration.h
+++ b/Source/gateway/configuration.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "Source/base/types.h"
@@ -40,6 +41,9 @@
   uint64_t version = 0;
   std::map<std::string, Route, std::less<>> routes;  // By database name.
   std::map<GroupName, GroupSettings, std::less<>> groups;
+  // Groups whose settings could not be read. The gateway keeps those of the
+  // configuration before.
+  std::set<GroupName> invalid_groups;
   absl::Duration idle_transaction_timeout = absl::Seconds(3);
 };
 
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -101,6 +101,12 @@
             << " replaced=" << m_configuration.version
             << " routes=" << configuration.routes.size()
             << " groups=" << configuration.groups.size();
+  for (const GroupName& name : configuration.invalid_groups) {
+    const auto known = m_configuration.groups.find(name);
+    if (known != m_configuration.groups.end()) {
+      configuration.groups.try_emplace(name, known->second);
+    }
+  }
   m_configuration = std::move(configuration);
   for (const auto& [name, settings] : m_configuration.groups) {
     m_groups[name];
@@ -559,6 +565,7 @@
         Group& asked = m_groups[name];
         asked.refresh_in_progress = false;
         if (Ok(answer) && ValueOf(answer).epoch > 0 &&
+            ValueOf(answer).age >= absl::ZeroDuration() &&
             ValueOf(answer).epoch == m_leadership->View().Leader(name).epoch) {
           // The answer was made after the query was sent.
           asked.position_history.Add(sent - ValueOf(answer).age,
@@ -620,7 +627,7 @@
     // Keeps one connection open, so that the first statement does not wait and
     // a dead target is noticed.
     if (pool->OwnOpenCount() == 0 && !pool->Target().draining &&
-        !group->on_demand) {
+        !group->on_demand && m_configuration.groups.contains(name)) {
       pool->EnsureOpening(1);
     }
   }
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,7 @@
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
     const int number = ++m_opened;
+    opened_to.insert(target.id);
     m_on_close[number] = std::move(on_close);
     m_loop->Add(absl::Milliseconds(1), [this, number, on_open]() {
       if (!Closed(number)) {
@@ -80,6 +82,7 @@
   std::deque<SentCommand> sent;  // Commands that the test must answer.
   std::vector<TargetCommand> setup;
   std::vector<int> closed;
+  std::set<TargetId> opened_to;
   bool hold_setup = false;
 
  private:
@@ -546,6 +549,36 @@
   CHECK(m_caller.closed);
 }
 
+// A group that lost its number of synchronous replicas could lose commits.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_ServiceInvalidInNewVersion_KeepsItsSettings") {
+  Configuration configuration;
+  configuration.version = 4;
+  configuration.groups["g"] = {.max_connections = 12, .sync_replicas = 1};
+  m_gateway.OnConfiguration(configuration);
+  configuration.version = 5;
+  configuration.groups.clear();
+  configuration.invalid_groups = {"g"};
+  m_gateway.OnConfiguration(configuration);
+  CHECK(m_gateway.SyncReplicas("g") == 1);
+  configuration.version = 6;
+  configuration.invalid_groups.clear();
+  m_gateway.OnConfiguration(configuration);
+  CHECK(m_gateway.SyncReplicas("g") == 0);
+}
+
+// The address of a target whose group no configuration names is not trusted.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Gateway_TargetOfUnknownGroup_GetsNoConnection") {
+  ListedTarget target;
+  target.id = "stranger";
+  target.group = "unknown";
+  target.address = "stranger";
+  m_gateway.OnTargets({target});
+  m_loop.RunFor(absl::Seconds(2));
+  CHECK_FALSE(m_driver.opened_to.contains("stranger"));
+}
+
 // A session that always had a statement in flight when the gateway looked for
 // idle ones was not closed, and its statement was cut off when the process
 // ended.
--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -3,9 +3,14 @@
 
 #include "platform/documents.h"
 
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
+#include "nlohmann/json.hpp"
 
 namespace heatherwick::platform {
 namespace {
@@ -73,5 +78,116 @@
   }
 }
 
+// nlohmann-json converts numbers of another type silently, and an address that
+// cannot be connected to would be tried again and again.
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Target_FieldOfOtherTypeOrRange_IsAnError") {
+  const nlohmann::json valid = {{"service", "s"},
+                                {"address", "10.0.0.1:80"},
+                                {"zone", "z"},
+                                {"state", "ready"},
+                                {"dbRole", "replica"},
+                                {"slots", 2},
+                                {"coldRemainingMs", 0},
+                                {"sequence", 4},
+                                {"born", 17}};
+  REQUIRE(Ok(DecodeTarget("i-1", valid.dump())));
+  const std::vector<std::pair<const char*, nlohmann::json>> invalid = {
+      {"service", ""},
+      {"service", "a b"},
+      {"service", "s\r\nQUERY"},
+      {"service", std::string(100000, 's')},
+      {"address", "10.0.0.1:0"},
+      {"address", "10.0.0.1:65536"},
+      {"address", "10.0.0.1:-1"},
+      {"address", "10.0.0.1"},
+      {"address", "10.0.0.1:80:81"},
+      {"address", "10.0.0.256:80"},
+      {"address", "localhost:80"},
+      {"address", ":80"},
+      {"address", nullptr},
+      {"zone", 5},
+      {"zone", "a\nb"},
+      {"state", true},
+      {"state", "unknown"},
+      {"dbRole", 5},
+      {"dbRole", "leader"},
+      {"slots", -1},
+      {"slots", "two"},
+      {"sequence", nlohmann::json::array()},
+      {"born", -1},
+      {"born", 1.5},
+      {"born", 1e300},
+      {"born", "yesterday"}};
+  for (const auto& [field, value] : invalid) {
+    nlohmann::json document = valid;
+    document[field] = value;
+    CAPTURE(field);
+    CAPTURE(value.dump().substr(0, 40));
+    CHECK_FALSE(Ok(DecodeTarget("i-1", document.dump())));
+  }
+  for (const char* id : {"", "i 1", "i-1\r\n"}) {
+    CAPTURE(id);
+    CHECK_FALSE(Ok(DecodeTarget(id, valid.dump())));
+  }
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture, "Target_DeepNesting_IsAnError") {
+  const std::string deep =
+      std::string(30000, '[') + "1" + std::string(30000, ']');
+  CHECK_FALSE(Ok(DecodeTarget("i-1", deep)));
+  CHECK_FALSE(Ok(DecodeTarget("i-1", R"({"service":)" + deep + "}")));
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_RouteOutOfRange_KeepsOthers") {
+  for (const char* change :
+       {R"("timeoutMs":-5)", R"("timeoutMs":1e300)", R"("timeoutMs":0)",
+        R"("maxStalenessMs":-1)", R"("priority":"high")", R"("service":"a b")",
+        R"("targetLatencyMs":null)"}) {
+    CAPTURE(change);
+    std::string bad = RouteDocument("bad");
+    bad.insert(bad.size() - 1, absl::StrCat(",", change));
+    const Configuration configuration = Decode(bad + "," + RouteDocument("db"));
+    CHECK(configuration.routes.size() == 1);
+    CHECK(configuration.routes.contains("db"));
+  }
+}
+
+// A group without its number of synchronous replicas could lose commits.
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_InvalidService_IsNamedAndOthersKept") {
+  for (const char* change :
+       {R"("maxConnections":-1)", R"("maxConnections":4294967297)",
+        R"("syncReplicas":-1)", R"("syncReplicas":"one")"}) {
+    CAPTURE(change);
+    const auto decoded = DecodeConfiguration(
+        absl::StrCat(R"({"version":7,"routes":[],"services":[{"name":"bad",)",
+                     change, R"(},5,{"name":"s","maxConnections":16}]})"));
+    REQUIRE(Ok(decoded));
+    const Configuration& configuration = ValueOf(decoded);
+    CHECK(configuration.groups.size() == 1);
+    CHECK(configuration.groups.at("s").max_connections == 16);
+    CHECK(configuration.invalid_groups == std::set<GroupName>{"bad"});
+  }
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_VersionOutOfRange_IsAnError") {
+  for (const char* version : {"-1", "0", "1.5", "1e300", "\"7\"", "null"}) {
+    CAPTURE(version);
+    CHECK_FALSE(Ok(DecodeConfiguration(absl::StrCat(
+        R"({"version":)", version, R"(,"routes":[],"services":[]})"))));
+  }
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_InvalidLimit_KeepsTheDefault") {
+  const auto decoded = DecodeConfiguration(
+      R"({"version":7,"routes":[],"services":[],"limits":{"txIdleMs":-1}})");
+  REQUIRE(Ok(decoded));
+  CHECK(ValueOf(decoded).idle_transaction_timeout == absl::Seconds(3));
+}
+
 }  // namespace
 }  // namespace heatherwick::platform
