gateway: Check leadership rows and readings of peers

Cause: fields of leadership rows were converted to integers silently. An epoch of -1 became 2^64 - 1, wrapped to 0 with the next change, and all later rows looked older. A peer's reading of negative age extended a lease into the future, and a version of 2^64 - 1 in its table hid every later change.

Change: the rows are read with JsonReader, one function for each kind of row. A row that is not valid is rejected alone, with its key, and its last valid version stays. Readings from the future, of negative age or of an impossible version are not used, and the next source is asked.

The fixtures of two tests give their leader rows a primary and a holder, as all rows have.

--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -1,15 +1,16 @@
-// Decodes leadership rows. A row that cannot be decoded is logged and skipped;
-// the other rows are applied.
+// Decodes leadership rows. A row that cannot be decoded is logged and skipped,
+// and its last valid version stays in force: forgetting a member or a change
+// could end a wait that promotions depend on. The other rows are applied.
 
 #include "Source/gateway/leadership_view.h"
 
 #include <utility>
 
+#include "Source/base/json_reader.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
-#include "glog/logging.h"
 #include "nlohmann/json.hpp"
 
 namespace heatherwick {
@@ -22,6 +23,13 @@
 constexpr char kConfirmationPrefix[] = "confirmed/";
 constexpr char kVotePrefix[] = "vote/";
 constexpr char kPromotionLock[] = "duty";
+// Relays multiply capacities; this keeps the product within 64 bits.
+constexpr uint64_t kMaxCapacity = 1000000000;
+
+Error InvalidKey() {
+  return {ErrorKind::kInvalidArgument, "the row's key has no valid name",
+          "check what wrote the row"};
+}
 
 }  // namespace
 
@@ -39,11 +47,11 @@
     m_promotion_lock.holder.clear();
   }
   for (const StoredRow& row : changes.rows) {
-    try {
-      ApplyRow(row, now, &changed);
-    } catch (const json::exception& error) {
-      LOG(WARNING) << "event=row_skipped table=leadership key=" << row.key
-                   << " cause=\"" << error.what() << "\"";
+    const Status applied = ApplyRow(row, now, &changed);
+    if (Ok(applied)) {
+      m_rejected_rows.Accept(row.key);
+    } else {
+      m_rejected_rows.Reject(row.key, ErrorOf(applied));
     }
   }
   if (changes.version > 0) {
@@ -54,73 +62,156 @@
   return changed;
 }
 
-void LeadershipView::ApplyRow(const StoredRow& row,
-                              absl::Time now,
-                              std::set<GroupName>* changed) {
+Status LeadershipView::ApplyRow(const StoredRow& row,
+                                absl::Time now,
+                                std::set<GroupName>* changed) {
+  if (row.version > kMaxCounter) {
+    return Error{ErrorKind::kInvalidArgument, "the row's version is too large",
+                 "check the store and the instance that sent the row"};
+  }
   absl::string_view key = row.key;
-  const json value = row.deleted ? json::object() : json::parse(row.value);
+  const Result<json> value =
+      row.deleted ? Result<json>(json::object()) : ParseJson(row.value);
+  if (!Ok(value)) {
+    return ErrorOf(value);
+  }
+  JsonReader reader(ValueOf(value));
   if (absl::ConsumePrefix(&key, kMemberPrefix)) {
-    if (row.deleted) {
-      m_members.erase(std::string(key));
-      ++m_members_revision;
-    } else {
-      MemberRow member;
-      member.incarnation = value.at("incarnation").get<uint64_t>();
-      member.peer_address = value.at("peer").get<std::string>();
-      member.data_centre = value.value("data_centre", "");
-      member.capacity = value.value("capacity", uint32_t{0});
-      member.row_version = row.version;
-      const uint64_t joined = value.value("joined", uint64_t{0});
-      member.joined = joined > 0 ? joined : row.version;
-      m_members[std::string(key)] = std::move(member);
-      ++m_members_revision;
-    }
-  } else if (absl::ConsumePrefix(&key, kConfirmationPrefix)) {
-    if (!row.deleted) {
-      m_confirmations[std::string(key)] = {
-          value.at("incarnation").get<uint64_t>(),
-          value.at("epochs").get<std::map<GroupName, uint64_t>>()};
-    }
-  } else if (absl::ConsumePrefix(&key, kVotePrefix)) {
-    const std::vector<std::string> parts = absl::StrSplit(key, '/');
-    if (parts.size() == 2 && !row.deleted) {
-      m_votes[parts[0]][parts[1]] = {value.at("epoch").get<uint64_t>(),
-                                     value.at("round").get<uint64_t>(),
-                                     value.at("dead").get<bool>()};
-    }
-  } else if (absl::ConsumePrefix(&key, kLeaderPrefix)) {
-    GroupLeader& leader = m_leaders[std::string(key)];
-    if (row.deleted || row.version <= leader.row_version) {
-      return;
-    }
-    GroupLeader next;
-    next.epoch = value.at("epoch").get<uint64_t>();
-    next.phase = value.at("open").get<bool>() ? LeaderPhase::kOpen
-                                              : LeaderPhase::kChanging;
-    next.primary = value.at("primary").get<std::string>();
-    next.term = value.value("term", uint64_t{0});
-    next.holder = value.at("holder").get<std::string>();
-    next.holder_incarnation = value.at("incarnation").get<uint64_t>();
-    next.planned = value.at("planned").get<bool>();
-    next.row_version = row.version;
-    next.seen = now;
-    if (next.phase == LeaderPhase::kChanging) {
-      const bool again = leader.phase == LeaderPhase::kChanging;
-      next.change_epoch = again ? leader.change_epoch : next.epoch;
-      next.change_seen = again ? leader.change_seen : now;
-      next.usable_until = again ? leader.usable_until : m_as_of + kLeaderLease;
-    }
-    leader = next;
-    m_leader_rows[row.key] = row;
-    m_leaders_version = std::max(m_leaders_version, row.version);
-    changed->insert(std::string(key));
-  } else if (key == kPromotionLock && !row.deleted &&
-             row.version >= m_promotion_lock.row_version) {
-    const bool same = row.version == m_promotion_lock.row_version;
-    m_promotion_lock = {value.at("holder").get<std::string>(),
-                        value.at("incarnation").get<uint64_t>(), row.version,
-                        same ? m_promotion_lock.seen : now};
+    return ApplyMember(std::string(key), row, &reader);
+  }
+  if (absl::ConsumePrefix(&key, kConfirmationPrefix)) {
+    return ApplyConfirmation(std::string(key), row, &reader);
+  }
+  if (absl::ConsumePrefix(&key, kVotePrefix)) {
+    return ApplyVote(std::string(key), row, &reader);
+  }
+  if (absl::ConsumePrefix(&key, kLeaderPrefix)) {
+    return ApplyLeader(std::string(key), row, &reader, now, changed);
+  }
+  if (key == kPromotionLock) {
+    return ApplyPromotionLock(row, &reader, now);
+  }
+  return std::monostate{};
+}
+
+Status LeadershipView::ApplyMember(const InstanceId& id,
+                                   const StoredRow& row,
+                                   JsonReader* reader) {
+  if (row.deleted) {
+    m_members.erase(id);
+    ++m_members_revision;
+    return std::monostate{};
+  }
+  MemberRow member;
+  member.incarnation = reader->Number("incarnation", 0, kMaxCounter);
+  member.peer_address = reader->Name("peer");
+  member.data_centre = reader->NameOr("data_centre", "");
+  member.capacity =
+      static_cast<uint32_t>(reader->NumberOr("capacity", 0, 0, kMaxCapacity));
+  member.row_version = row.version;
+  const uint64_t joined = reader->NumberOr("joined", 0, 0, kMaxCounter);
+  member.joined = joined > 0 ? joined : row.version;
+  if (!Ok(reader->Result())) {
+    return reader->Result();
+  }
+  if (!IsName(id)) {
+    return InvalidKey();
+  }
+  m_members[id] = std::move(member);
+  ++m_members_revision;
+  return std::monostate{};
+}
+
+Status LeadershipView::ApplyConfirmation(const InstanceId& id,
+                                         const StoredRow& row,
+                                         JsonReader* reader) {
+  if (row.deleted) {
+    return std::monostate{};
+  }
+  Confirmation confirmation;
+  confirmation.incarnation = reader->Number("incarnation", 0, kMaxCounter);
+  confirmation.epochs = reader->Counters("epochs");
+  if (Ok(reader->Result())) {
+    m_confirmations[id] = std::move(confirmation);
+  }
+  return reader->Result();
+}
+
+Status LeadershipView::ApplyVote(const std::string& key,
+                                 const StoredRow& row,
+                                 JsonReader* reader) {
+  const std::vector<std::string> parts = absl::StrSplit(key, '/');
+  if (parts.size() != 2) {
+    return InvalidKey();
+  }
+  if (row.deleted) {
+    return std::monostate{};
+  }
+  Vote vote;
+  vote.epoch = reader->Number("epoch", 0, kMaxCounter);
+  vote.round = reader->Number("round", 0, kMaxCounter);
+  vote.dead = reader->Flag("dead");
+  if (Ok(reader->Result())) {
+    m_votes[parts[0]][parts[1]] = vote;
+  }
+  return reader->Result();
+}
+
+Status LeadershipView::ApplyLeader(const GroupName& group,
+                                   const StoredRow& row,
+                                   JsonReader* reader,
+                                   absl::Time now,
+                                   std::set<GroupName>* changed) {
+  if (!IsName(group)) {
+    return InvalidKey();
+  }
+  const GroupLeader& known = Leader(group);
+  if (row.deleted || row.version <= known.row_version) {
+    return std::monostate{};
+  }
+  GroupLeader next;
+  next.epoch = reader->Number("epoch", 0, kMaxCounter);
+  next.phase =
+      reader->Flag("open") ? LeaderPhase::kOpen : LeaderPhase::kChanging;
+  next.primary = reader->Name("primary");
+  next.term = reader->NumberOr("term", 0, 0, kMaxCounter);
+  next.holder = reader->Name("holder");
+  next.holder_incarnation = reader->Number("incarnation", 0, kMaxCounter);
+  next.planned = reader->Flag("planned");
+  if (!Ok(reader->Result())) {
+    return reader->Result();
+  }
+  next.row_version = row.version;
+  next.seen = now;
+  if (next.phase == LeaderPhase::kChanging) {
+    const bool again = known.phase == LeaderPhase::kChanging;
+    next.change_epoch = again ? known.change_epoch : next.epoch;
+    next.change_seen = again ? known.change_seen : now;
+    next.usable_until = again ? known.usable_until : m_as_of + kLeaderLease;
+  }
+  m_leaders[group] = next;
+  m_leader_rows[row.key] = row;
+  m_leaders_version = std::max(m_leaders_version, row.version);
+  changed->insert(group);
+  return std::monostate{};
+}
+
+Status LeadershipView::ApplyPromotionLock(const StoredRow& row,
+                                          JsonReader* reader,
+                                          absl::Time now) {
+  if (row.deleted || row.version < m_promotion_lock.row_version) {
+    return std::monostate{};
+  }
+  PromotionLockRow lock;
+  lock.holder = reader->NameOr("holder", "");
+  lock.incarnation = reader->Number("incarnation", 0, kMaxCounter);
+  lock.row_version = row.version;
+  lock.seen =
+      row.version == m_promotion_lock.row_version ? m_promotion_lock.seen : now;
+  if (Ok(reader->Result())) {
+    m_promotion_lock = lock;
   }
+  return reader->Result();
 }
 
 bool LeadershipView::OwnRowPresent() const {
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -20,6 +20,9 @@
 #include <string>
 #include <vector>
 
+#include "Source/base/error.h"
+#include "Source/base/json_reader.h"
+#include "Source/base/rejected_entries.h"
 #include "Source/base/types.h"
 #include "Source/gateway/row_store.h"
 #include "absl/time/time.h"
@@ -140,9 +143,27 @@
     std::map<GroupName, uint64_t> epochs;
   };
 
-  void ApplyRow(const StoredRow& row,
-                absl::Time now,
-                std::set<GroupName>* changed);
+  // Each returns an error, and changes nothing, if the row is not valid.
+  Status ApplyRow(const StoredRow& row,
+                  absl::Time now,
+                  std::set<GroupName>* changed);
+  Status ApplyMember(const InstanceId& id,
+                     const StoredRow& row,
+                     JsonReader* reader);
+  Status ApplyConfirmation(const InstanceId& id,
+                           const StoredRow& row,
+                           JsonReader* reader);
+  Status ApplyVote(const std::string& key,
+                   const StoredRow& row,
+                   JsonReader* reader);
+  Status ApplyLeader(const GroupName& group,
+                     const StoredRow& row,
+                     JsonReader* reader,
+                     absl::Time now,
+                     std::set<GroupName>* changed);
+  Status ApplyPromotionLock(const StoredRow& row,
+                            JsonReader* reader,
+                            absl::Time now);
 
   const InstanceId m_self;
   const uint64_t m_incarnation;
@@ -157,6 +178,7 @@
   std::map<InstanceId, Confirmation> m_confirmations;
   std::map<GroupName, std::map<InstanceId, Vote>> m_votes;
   PromotionLockRow m_promotion_lock;
+  RejectedEntries m_rejected_rows{"leadership"};
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -131,7 +131,9 @@
   } else {
     VouchResponse& vouch = ValueOf(answer);
     const absl::Time as_of = round->started - vouch.reading_age;
-    if (vouch.has_reading && vouch.member_known &&
+    // A negative age would extend the lease into the future.
+    if (vouch.has_reading && vouch.reading_age >= absl::ZeroDuration() &&
+        vouch.member_known &&
         vouch.leaders_version >= m_view->LeadersVersion() &&
         as_of > m_view->AsOf()) {
       RowChanges changes;
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Source/base/json_reader.h"
 #include "Source/base/packing.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
@@ -193,10 +194,14 @@
       call->whole_table ? std::min(state.max_age, kMaxAgeOfWholeTable)
                         : state.max_age;
   const bool too_old = now - changes.as_of > max_age;
+  // A reading from the future would outlast every later one.
+  const bool malformed = followed.age < absl::ZeroDuration() ||
+                         followed.waited < absl::ZeroDuration() ||
+                         changes.as_of > now || changes.version > kMaxCounter;
   // An older table must not replace what this instance knows.
   const bool regresses = changes.snapshot && changes.version < state.version;
-  if (too_old || regresses || followed.failing || followed.reader == m_self ||
-      (call->whole_table && !changes.snapshot)) {
+  if (too_old || malformed || regresses || followed.failing ||
+      followed.reader == m_self || (call->whole_table && !changes.snapshot)) {
     state.choice.OnCannotRead(source, now);
     OnSourceFailed(call, {ErrorKind::kUnavailable,
                           absl::StrCat("instance ", source.member,
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -3,6 +3,7 @@
 
 #include "Source/gateway/leadership_view.h"
 
+#include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
 
 namespace heatherwick {
@@ -28,6 +29,7 @@
     leader.epoch = epoch;
     leader.phase = phase;
     leader.primary = "db1";
+    leader.holder = "x";
     return {LeadershipView::LeaderKey("g"),
             LeadershipView::EncodeLeader(leader), version, false};
   }
@@ -65,6 +67,57 @@
   CHECK(m_view.Leader("g").phase == LeaderPhase::kUnknown);
 }
 
+// A number that is converted silently could end all later changes (an epoch
+// that wraps to 0) or make a member unreachable by its confirmations.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_FieldOutOfRange_KeepsLastValidRow") {
+  m_view.Apply(Rows({OwnRow(7), LeaderRow(4, LeaderPhase::kOpen, 4)}), m_now);
+  const std::string deep =
+      std::string(30000, '[') + "1" + std::string(30000, ']');
+  uint64_t version = 10;
+  for (const std::string& value :
+       {std::string("-1"), std::string("1e300"), std::string("5.0"),
+        std::string("18446744073709551615"), std::string("\"5\""), deep}) {
+    CAPTURE(value.substr(0, 30));
+    const std::string leader = absl::StrCat(
+        R"({"epoch":)", value, R"(,"open":true,"primary":"db9","holder":"x",)",
+        R"("incarnation":3,"planned":false})");
+    const std::string member =
+        absl::StrCat(R"({"incarnation":)", value, R"(,"peer":"p9"})");
+    const std::string vote =
+        absl::StrCat(R"({"epoch":4,"round":)", value, R"(,"dead":true})");
+    const std::string confirmation =
+        absl::StrCat(R"({"incarnation":7,"epochs":{"g":)", value, "}}");
+    m_view.Apply(Rows({{"leader/g", leader, ++version, false},
+                       {"member/self", member, ++version, false},
+                       {"vote/g/x", vote, ++version, false},
+                       {"confirmed/self", confirmation, ++version, false}}),
+                 m_now);
+    CHECK(m_view.Leader("g").primary == "db1");
+    CHECK(m_view.LeaseValid(m_now));
+    CHECK(m_view.Votes("g").empty());
+    CHECK_FALSE(m_view.Unconfirmed("g", 5).empty());
+  }
+}
+
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_NamesUnfitForUse_AreSkipped") {
+  m_view.Apply(
+      Rows({{"member/x", R"({"incarnation":3,"peer":""})", 5, false},
+            {"member/a b", R"({"incarnation":3,"peer":"p"})", 5, false},
+            {"leader/",
+             R"({"epoch":2,"open":true,"primary":"db2","holder":"x",)"
+             R"("incarnation":3,"planned":false})",
+             6, false},
+            {"leader/h",
+             R"({"epoch":2,"open":true,"primary":"a\r\nb",)"
+             R"("holder":"x","incarnation":3,"planned":false})",
+             6, false}}),
+      m_now);
+  CHECK(m_view.Members().empty());
+  CHECK(m_view.Leader("h").phase == LeaderPhase::kUnknown);
+  CHECK(m_view.Leader("").phase == LeaderPhase::kUnknown);
+}
+
 // After an upgrade the table still holds rows of the previous version.
 TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_RowsOfFirstVersion_AreRead") {
   m_view.Apply(Rows({{"member/x", R"({"incarnation":3,"peer":"p"})", 5, false},
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -60,6 +60,8 @@
     GroupLeader leader;
     leader.epoch = 1;
     leader.phase = LeaderPhase::kOpen;
+    leader.primary = "db0";
+    leader.holder = "p1";
     changes.rows = {{LeadershipView::LeaderKey("g"),
                      LeadershipView::EncodeLeader(leader), 9, false}};
     changes.version = 9;
@@ -124,6 +126,13 @@
   CHECK_FALSE(ValidIn(absl::Milliseconds(1701)));
 }
 
+// Guards against a lease that ends in the far future.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_ReadingOfNegativeAge_DoesNotExtend") {
+  QueryPeers(ReadOfAge(-absl::Hours(1)), NoAnswer());
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
+}
+
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_PeerDoesNotKnowMember_DoesNotExtend") {
   VouchResponse answer = ReadOfAge(absl::ZeroDuration());
@@ -209,6 +218,8 @@
   GroupLeader leader;
   leader.epoch = 2;
   leader.phase = LeaderPhase::kChanging;
+  leader.primary = "db0";
+  leader.holder = "p1";
   VouchResponse answer = ReadOfAge(absl::ZeroDuration());
   answer.leaders_version = 50;
   answer.leaders = {{LeadershipView::LeaderKey("g"),
@@ -222,6 +233,8 @@
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_PeerBehindOwnView_DoesNotExtend") {
   GroupLeader leader;
+  leader.primary = "db0";
+  leader.holder = "p1";
   RowChanges known;
   known.rows = {{LeadershipView::LeaderKey("g"),
                  LeadershipView::EncodeLeader(leader), 60, false}};
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -59,8 +59,13 @@
         });
         return;
       }
-      owner->m_loop.Add(absl::Milliseconds(2), [&peer, query, done]() {
-        peer.shared.OnFollow(query, done);
+      owner->m_loop.Add(absl::Milliseconds(2), [&peer, query, done, this]() {
+        peer.shared.OnFollow(query, [done, this](Result<FollowResponse> sent) {
+          if (Ok(sent) && owner->alter_response) {
+            owner->alter_response(&ValueOf(sent));
+          }
+          done(std::move(sent));
+        });
       });
     }
     void Fetch(const std::string& address,
@@ -165,6 +170,8 @@
     return *m_instances["a"];
   }
 
+  // Applied to each response of an instance to its followers.
+  std::function<void(FollowResponse*)> alter_response;
   enum class Damage { kNone, kEmptyParts, kOtherBytes };
   Damage damage = Damage::kNone;
   int damaged_parts = 0;
@@ -196,6 +203,32 @@
   }
 }
 
+// Guards against a reading that seems newer than any other, or a version after
+// which no change is ever found. The instances turn to another source.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_MalformedResponse_IsNotUsed") {
+  const std::function<void(FollowResponse*)> alterations[] = {
+      [](FollowResponse* response) { response->age = -absl::Hours(1); },
+      [](FollowResponse* response) { response->waited = absl::Hours(1); },
+      [](FollowResponse* response) { response->waited = -absl::Hours(1); },
+      [](FollowResponse* response) {
+        response->changes.version = ~uint64_t{0};
+      }};
+  int value = 0;
+  for (const auto& alteration : alterations) {
+    CAPTURE(value);
+    alter_response = alteration;
+    m_loop.RunFor(absl::Seconds(3));
+    Write("k", absl::StrCat("m", ++value));
+    m_loop.RunFor(absl::Seconds(4));
+    for (const auto& [name, instance] : m_instances) {
+      CHECK(instance->rows["k"] == absl::StrCat("m", value));
+      CHECK(instance->as_of <= m_loop.Now());
+      CHECK(instance->version <= m_table.version);
+    }
+  }
+}
+
 TEST_CASE_FIXTURE(SharedStoreFixture,
                   "SharedRowStore_ReaderUnresponsive_OthersReadTheStore") {
   Instance& reader = Reader();
