gateway: Await the leases of members whose rows were removed

Cause: the row of a member that did not confirm a change is removed at its end. Its lease covers all groups and goes on for up to 2 s, but changes of other groups wait only for members with a row. A second attempt, whose wait is over at once, removed the rows of all members. Related: a peer that lacks the removal extended the lease, members that had read it counted as agreeing, and a stopping instance could acknowledge after it had removed its own row.

Ruled out: the processor.

Change: the view keeps removed members, and a change waits until they confirm it or a lease has passed since the removal was read; after a read of the whole table it waits for a lease, as that does not show removals. Second attempts remove no rows unless they have waited for a lease. Peers vouch only with members as of their newest leader row. A stopping instance ends its lease first, says so with its last row, and is not waited for.

--- a/Source/base/json_reader.cc
+++ b/Source/base/json_reader.cc
@@ -131,13 +131,18 @@
 }
 
 bool JsonReader::Flag(const char* field) {
-  const json* const value = Find(field, true);
+  (void)Find(field, true);
+  return FlagOr(field, false);
+}
+
+bool JsonReader::FlagOr(const char* field, bool default_value) {
+  const json* const value = Find(field, false);
   if (value == nullptr) {
-    return false;
+    return default_value;
   }
   if (!value->is_boolean()) {
     Fail(field, "is neither true nor false");
-    return false;
+    return default_value;
   }
   return value->get<bool>();
 }
--- a/Source/base/json_reader.h
+++ b/Source/base/json_reader.h
@@ -49,6 +49,7 @@
   // As Name(), but may be empty or missing.
   std::string NameOr(const char* field, const std::string& default_value);
   bool Flag(const char* field);
+  bool FlagOr(const char* field, bool default_value);
   // An object whose values are integers up to kMaxCounter.
   std::map<std::string, uint64_t> Counters(const char* field);
 
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -200,6 +200,8 @@
 
 void LeadershipManager::Stop(std::function<void()> done) {
   m_stopping = true;
+  // Once the member row is removed, changes no longer wait for this instance.
+  m_view.RenounceLease();
   m_tick_timer.reset();
   m_on_stopped = std::move(done);
   auto finish = [this, alive = m_alive]() {
@@ -214,6 +216,10 @@
     const std::string key = LeadershipView::MemberKey(m_settings.self);
     transaction.expected = {{key, "", own->second.row_version, false}};
     transaction.deletes = {key};
+    transaction.writes = {{LeadershipView::ConfirmationKey(m_settings.self),
+                           LeadershipView::EncodeLeaving(m_settings.incarnation,
+                                                         m_confirmed_epochs),
+                           0, false}};
   }
   const PromotionLockRow& lock = m_view.PromotionLock();
   if (lock.holder == m_settings.self &&
@@ -448,7 +454,7 @@
   m_peers->Vouch(member->second.peer_address,
                  {m_settings.self,
                   m_settings.incarnation,
-                  m_view.LeadersVersion(),
+                  m_view.Version(),
                   m_confirmed_epochs,
                   {}},
                  kConfirmTimeout,
@@ -994,15 +1000,20 @@
   if (m_peers == nullptr) {
     return;
   }
+  const VouchQuery query{
+      m_settings.self, m_settings.incarnation, m_view.Version(), {}, {row}};
+  const auto announce_to = [this, &query](const MemberRow& member) {
+    m_peers->Vouch(member.peer_address, query, kConfirmTimeout,
+                   [](const Result<VouchResponse>&) {});
+  };
   for (const auto& [id, member] : m_view.Members()) {
     if (id != m_settings.self) {
-      m_peers->Vouch(member.peer_address,
-                     {m_settings.self,
-                      m_settings.incarnation,
-                      m_view.LeadersVersion(),
-                      {},
-                      {row}},
-                     kConfirmTimeout, [](const Result<VouchResponse>&) {});
+      announce_to(member);
+    }
+  }
+  for (const auto& [id, departed] : m_view.Departed()) {
+    if (!departed.row.peer_address.empty()) {
+      announce_to(departed.row);
     }
   }
 }
@@ -1022,16 +1033,27 @@
       missing.empty() && m_view.Version() >= change->row_version;
   absl::Time expiry = m_view.Leader(group).change_seen;
   for (const InstanceId& id : missing) {
-    expiry = std::max(expiry, EndOfLeaseRenewals(group, change, id, missing));
+    expiry =
+        std::max(expiry, EndOfLeaseRenewals(group, change, id,
+                                            m_view.Members().at(id).row_version,
+                                            missing));
   }
   expiry += kLeaderLease + kLeaseMargin;
-  if (!all_confirmed && now < expiry) {
+  if (all_confirmed) {
+    expiry = absl::InfinitePast();
+  }
+  expiry = std::max(expiry, EndOfDepartedLeases(group, change, missing));
+  if (now < expiry) {
     RunStepAfter(group, attempt, expiry - now,
                  &LeadershipManager::AwaitConfirmations);
     return;
   }
+  // A later attempt may find the leases over before a live member could confirm
+  // it. That member's row must stay: it is the only sign for other changes to
+  // wait for its lease, which covers all groups.
+  const bool gave_time = now >= change->published_at + kLeaderLease;
   for (const InstanceId& id : missing) {
-    if (id != m_settings.self) {
+    if (gave_time && id != m_settings.self) {
       change->expired_members[id] = m_view.Members().at(id).row_version;
     }
   }
@@ -1044,16 +1066,34 @@
   CollectStatuses(group, attempt);
 }
 
+absl::Time LeadershipManager::EndOfDepartedLeases(
+    const GroupName& group,
+    PrimaryChange* change,
+    const std::vector<InstanceId>& missing) const {
+  // Members whose rows were removed before this instance read the table may
+  // have leases, too.
+  absl::Time renewals_end = m_view.TableReadAt();
+  for (const auto& [id, departed] : m_view.Departed()) {
+    if (!m_view.HasConfirmed(id, departed.row.incarnation, group,
+                             change->epoch)) {
+      renewals_end =
+          std::max({renewals_end, departed.seen,
+                    EndOfLeaseRenewals(group, change, id,
+                                       departed.row.row_version, missing)});
+    }
+  }
+  return renewals_end + kLeaderLease + kLeaseMargin;
+}
+
 absl::Time LeadershipManager::EndOfLeaseRenewals(
     const GroupName& group,
     PrimaryChange* change,
     const InstanceId& unresponsive,
+    uint64_t unresponsive_row_version,
     const std::vector<InstanceId>& missing) const {
   // Without the store, an unresponsive member extends its lease if all members
   // that it knows agree. It knows those whose rows were in the table before its
   // own. A member that has confirmed the change no longer agrees.
-  const uint64_t unresponsive_row_version =
-      m_view.Members().at(unresponsive).row_version;
   const absl::Time change_seen = m_view.Leader(group).change_seen;
   const auto own = m_view.Members().find(m_settings.self);
   if (unresponsive == m_settings.self ||
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -158,7 +158,12 @@
   absl::Time EndOfLeaseRenewals(const GroupName& group,
                                 PrimaryChange* change,
                                 const InstanceId& unresponsive,
+                                uint64_t unresponsive_row_version,
                                 const std::vector<InstanceId>& missing) const;
+  // Returns the time at which the leases of members without rows have expired.
+  absl::Time EndOfDepartedLeases(const GroupName& group,
+                                 PrimaryChange* change,
+                                 const std::vector<InstanceId>& missing) const;
   void CollectStatuses(const GroupName& group, uint64_t attempt);
   // The targets whose statuses the change needs.
   std::vector<TargetId> TargetsToQuery(const GroupName& group,
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -39,9 +39,11 @@
 std::set<GroupName> LeadershipView::Apply(const RowChanges& changes,
                                           absl::Time now) {
   std::set<GroupName> changed;
+  std::map<InstanceId, MemberRow> members_before;
   if (changes.snapshot) {
-    m_members.clear();
+    members_before.swap(m_members);
     ++m_members_revision;
+    m_table_read_at = now;
     m_confirmations.clear();
     m_votes.clear();
     m_promotion_lock.holder.clear();
@@ -54,6 +56,15 @@
       m_rejected_rows.Reject(row.key, ErrorOf(applied));
     }
   }
+  for (const auto& [id, member] : members_before) {
+    if (!m_members.contains(id)) {
+      RemoveMember(id, member, now);
+    }
+  }
+  // No lease lasts longer without a row (see kUnanimityLimit).
+  std::erase_if(m_departed, [now](const auto& departed) {
+    return now - departed.second.seen > kUnanimityLimit + 2 * kLeaderLease;
+  });
   if (changes.version > 0) {
     m_version = std::max(m_version, changes.version);
     m_last_store_read = std::max(m_last_store_read, changes.as_of);
@@ -77,7 +88,7 @@
   }
   JsonReader reader(ValueOf(value));
   if (absl::ConsumePrefix(&key, kMemberPrefix)) {
-    return ApplyMember(std::string(key), row, &reader);
+    return ApplyMember(std::string(key), row, &reader, now);
   }
   if (absl::ConsumePrefix(&key, kConfirmationPrefix)) {
     return ApplyConfirmation(std::string(key), row, &reader);
@@ -94,11 +105,28 @@
   return std::monostate{};
 }
 
+void LeadershipView::RemoveMember(const InstanceId& id,
+                                  const MemberRow& row,
+                                  absl::Time now) {
+  const auto confirmation = m_confirmations.find(id);
+  if (confirmation == m_confirmations.end() || !confirmation->second.left) {
+    m_departed[id] = {row, now};
+  }
+}
+
 Status LeadershipView::ApplyMember(const InstanceId& id,
                                    const StoredRow& row,
-                                   JsonReader* reader) {
+                                   JsonReader* reader,
+                                   absl::Time now) {
   if (row.deleted) {
-    m_members.erase(id);
+    const auto known = m_members.find(id);
+    MemberRow removed;
+    removed.row_version = row.version;
+    if (known != m_members.end()) {
+      removed = known->second;
+      m_members.erase(known);
+    }
+    RemoveMember(id, removed, now);
     ++m_members_revision;
     return std::monostate{};
   }
@@ -118,6 +146,7 @@
     return InvalidKey();
   }
   m_members[id] = std::move(member);
+  m_departed.erase(id);
   ++m_members_revision;
   return std::monostate{};
 }
@@ -131,7 +160,11 @@
   Confirmation confirmation;
   confirmation.incarnation = reader->Number("incarnation", 0, kMaxCounter);
   confirmation.epochs = reader->Counters("epochs");
+  confirmation.left = reader->FlagOr("left", false);
   if (Ok(reader->Result())) {
+    if (confirmation.left) {
+      m_departed.erase(id);
+    }
     m_confirmations[id] = std::move(confirmation);
   }
   return reader->Result();
@@ -186,8 +219,8 @@
   if (next.phase == LeaderPhase::kChanging) {
     const bool again = known.phase == LeaderPhase::kChanging;
     next.change_epoch = again ? known.change_epoch : next.epoch;
-    next.change_seen = again ? known.change_seen : now;
     next.usable_until = again ? known.usable_until : m_as_of + kLeaderLease;
+    next.change_seen = again ? known.change_seen : now;
   }
   m_leaders[group] = next;
   m_leader_rows[row.key] = row;
@@ -220,7 +253,7 @@
 }
 
 bool LeadershipView::LeaseValid(absl::Time now) const {
-  return now < m_as_of + kLeaderLease && OwnRowPresent();
+  return !m_lease_renounced && now < m_as_of + kLeaderLease && OwnRowPresent();
 }
 
 void LeadershipView::RecordConfirmation(
@@ -257,19 +290,32 @@
   return rows;
 }
 
+bool LeadershipView::IsNewLeaderRow(const StoredRow& row) const {
+  const auto known = m_leader_rows.find(row.key);
+  return known == m_leader_rows.end() || known->second.version < row.version;
+}
+
+bool LeadershipView::HasConfirmed(const InstanceId& id,
+                                  uint64_t incarnation,
+                                  const GroupName& group,
+                                  uint64_t epoch) const {
+  const auto confirmation = m_confirmations.find(id);
+  if (confirmation == m_confirmations.end() ||
+      confirmation->second.incarnation != incarnation) {
+    return false;
+  }
+  const auto confirmed = confirmation->second.epochs.find(group);
+  return confirmed != confirmation->second.epochs.end() &&
+         confirmed->second >= epoch;
+}
+
 std::vector<InstanceId> LeadershipView::Unconfirmed(const GroupName& group,
                                                     uint64_t epoch) const {
   std::vector<InstanceId> missing;
   for (const auto& [id, member] : m_members) {
-    const auto confirmed = m_confirmations.find(id);
-    if (confirmed != m_confirmations.end() &&
-        confirmed->second.incarnation == member.incarnation) {
-      const auto at = confirmed->second.epochs.find(group);
-      if (at != confirmed->second.epochs.end() && at->second >= epoch) {
-        continue;
-      }
+    if (!HasConfirmed(id, member.incarnation, group, epoch)) {
+      missing.push_back(id);
     }
-    missing.push_back(id);
   }
   return missing;
 }
@@ -336,4 +382,11 @@
   return json{{"incarnation", incarnation}, {"epochs", epochs}}.dump();
 }
 
+std::string LeadershipView::EncodeLeaving(
+    uint64_t incarnation,
+    const std::map<GroupName, uint64_t>& epochs) {
+  return json{{"incarnation", incarnation}, {"epochs", epochs}, {"left", true}}
+      .dump();
+}
+
 }  // namespace heatherwick
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -72,6 +72,13 @@
   uint32_t capacity = 0;            // See relay_plan.h.
 };
 
+// A member whose row was removed by the holder of a change. It may not know,
+// and may use primaries until its lease expires.
+struct DepartedMember {
+  MemberRow row;
+  absl::Time seen;  // When the removal was read.
+};
+
 // The lock on promotions; its row key is "duty".
 struct PromotionLockRow {
   InstanceId holder;  // Empty if the lock is free.
@@ -107,19 +114,40 @@
                           const std::map<GroupName, uint64_t>& epochs);
   // Extends the lease as if the store had been read at `as_of`.
   void ExtendLease(absl::Time as_of);
+  // Ends the lease for good, because this instance is about to leave.
+  void RenounceLease() { m_lease_renounced = true; }
 
   const GroupLeader& Leader(const GroupName& group) const;
   const std::map<InstanceId, MemberRow>& Members() const { return m_members; }
+  // Does not include members that left by themselves, as they end their leases
+  // first.
+  const std::map<InstanceId, DepartedMember>& Departed() const {
+    return m_departed;
+  }
+  // When the whole table was last read. Members whose rows were removed before
+  // are unknown.
+  absl::Time TableReadAt() const { return m_table_read_at; }
   // Changes whenever Members() changes.
   uint64_t MembersRevision() const { return m_members_revision; }
   const PromotionLockRow& PromotionLock() const { return m_promotion_lock; }
+  // True if this run of the instance has confirmed `epoch` of `group`.
+  bool HasConfirmed(const InstanceId& id,
+                    uint64_t incarnation,
+                    const GroupName& group,
+                    uint64_t epoch) const;
   // Members that have not confirmed `epoch` of `group`.
   std::vector<InstanceId> Unconfirmed(const GroupName& group,
                                       uint64_t epoch) const;
   const std::map<InstanceId, Vote>& Votes(const GroupName& group) const;
   uint64_t Version() const { return m_version; }
-  // Version of the newest leader row.
+  // Version of the newest leader row. Rows that peers announce may leave out
+  // older ones; all rows up to Version() are known.
   uint64_t LeadersVersion() const { return m_leaders_version; }
+  // True if the members are known as of the newest leader row. The rows of
+  // members are removed together with an update of a leader row.
+  bool MembersCurrent() const { return m_leaders_version <= m_version; }
+  // True if `row` is a leader row newer than the one that is known.
+  bool IsNewLeaderRow(const StoredRow& row) const;
   std::vector<StoredRow> LeaderRowsAfter(uint64_t version) const;
 
   // Keys and values of rows.
@@ -136,20 +164,28 @@
   static std::string EncodeConfirmation(
       uint64_t incarnation,
       const std::map<GroupName, uint64_t>& epochs);
+  // Written by a member that removes its own row.
+  static std::string EncodeLeaving(uint64_t incarnation,
+                                   const std::map<GroupName, uint64_t>& epochs);
 
  private:
   struct Confirmation {
     uint64_t incarnation = 0;
     std::map<GroupName, uint64_t> epochs;
+    bool left = false;  // The member has ended its lease and left.
   };
 
+  // Records that a member's row is no longer in the table.
+  void RemoveMember(const InstanceId& id, const MemberRow& row, absl::Time now);
+
   // Each returns an error, and changes nothing, if the row is not valid.
   Status ApplyRow(const StoredRow& row,
                   absl::Time now,
                   std::set<GroupName>* changed);
   Status ApplyMember(const InstanceId& id,
                      const StoredRow& row,
-                     JsonReader* reader);
+                     JsonReader* reader,
+                     absl::Time now);
   Status ApplyConfirmation(const InstanceId& id,
                            const StoredRow& row,
                            JsonReader* reader);
@@ -174,6 +210,9 @@
   std::map<GroupName, GroupLeader> m_leaders;
   std::map<std::string, StoredRow> m_leader_rows;  // As stored, by row key.
   std::map<InstanceId, MemberRow> m_members;
+  std::map<InstanceId, DepartedMember> m_departed;
+  absl::Time m_table_read_at = absl::InfinitePast();
+  bool m_lease_renounced = false;
   uint64_t m_members_revision = 0;
   std::map<InstanceId, Confirmation> m_confirmations;
   std::map<GroupName, std::map<InstanceId, Vote>> m_votes;
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -147,7 +147,8 @@
     const bool has_read_nothing =
         !vouch.has_reading && vouch.leaders_version == 0;
     agrees = vouch.store_unreachable &&
-             (vouch.leaders_version == m_view->LeadersVersion() ||
+             ((vouch.leaders_version == m_view->LeadersVersion() &&
+               (vouch.member_known || !vouch.has_reading)) ||
               (has_read_nothing && m_view->LeaseValid(m_loop->Now())));
   }
   round->agreeing_members += agrees ? 1 : 0;
@@ -165,7 +166,8 @@
                                  bool changing) const {
   VouchResponse answer;
   const auto member = m_view->Members().find(query.instance);
-  answer.member_known = member != m_view->Members().end() &&
+  answer.member_known = m_view->MembersCurrent() &&
+                        member != m_view->Members().end() &&
                         member->second.incarnation == query.incarnation;
   answer.has_reading = m_view->AsOf() != absl::InfinitePast();
   if (answer.has_reading) {
