gateway: Start the wait anew when an open epoch was missed

Cause: an instance that read two changing leader rows in a row took them for one change and counted the wait for leases from the first. If it had missed the row between them, a primary was open in that epoch, and members that do not answer may use it until their leases end.

Change: the wait counts from the later row unless the epochs follow each other. The end of this instance's own use stays as it was.

Without it, LeadershipView_OpenEpochMissed_WaitsFromTheLaterChange fails.

--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -220,7 +220,10 @@
     const bool again = known.phase == LeaderPhase::kChanging;
     next.change_epoch = again ? known.change_epoch : next.epoch;
     next.usable_until = again ? known.usable_until : m_as_of + kLeaderLease;
-    next.change_seen = again ? known.change_seen : now;
+    // If an epoch was missed, a primary may have been open in it, which others
+    // use until their leases expire.
+    const bool missed_epoch = next.epoch != known.epoch + 1;
+    next.change_seen = again && !missed_epoch ? known.change_seen : now;
   }
   m_leaders[group] = next;
   m_leader_rows[row.key] = row;
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -151,6 +151,18 @@
   CHECK(m_view.Leader("g").change_epoch == 2);
 }
 
+// Between two changes of which this instance saw only the announcements,
+// another primary was open, and others may use it.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_OpenEpochMissed_WaitsFromTheLaterChange") {
+  m_view.Apply(Rows({OwnRow(7), LeaderRow(2, LeaderPhase::kChanging, 4)}),
+               m_now);
+  m_now += absl::Seconds(5);
+  m_view.Apply(Rows({LeaderRow(4, LeaderPhase::kChanging, 8)}), m_now);
+  CHECK(m_view.Leader("g").change_seen == m_now);
+  CHECK(m_view.Leader("g").change_epoch == 2);
+}
+
 TEST_CASE_FIXTURE(ViewFixture,
                   "LeadershipView_ChangeRead_EndsUseWithEarlierLease") {
   m_view.Apply(Rows({OwnRow(7)}), m_now);
