gateway: Ask peers for all leader rows since the last reading

Cause: an instance that cannot read the store asked its peers for leader rows newer than the newest one it knew. A holder announces single rows, so that the newest known row does not show that older ones are known. An instance that missed the change of one group and was told of another's was never sent the first one, kept its lease through peers, and used a primary while it was replaced.

Change: it asks for the rows since its last complete reading. A peer that knows a leader row which this instance lacks does not count as agreeing, and the row is applied.

Without it, PeerLeases_RowAnnounced_AsksForAllSinceTheLastReading fails.

--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -109,8 +109,9 @@
                    collectors.size()];
     peers.emplace_back(0, m_view->Members().at(collector).peer_address);
   }
-  const VouchQuery query{
-      m_self, m_incarnation, m_view->LeadersVersion(), {}, {}};
+  // Announced rows may be newer than rows that this instance lacks, so it asks
+  // for all since its last complete reading.
+  const VouchQuery query{m_self, m_incarnation, m_view->Version(), {}, {}};
   for (const auto& [hash, address] : peers) {
     m_transport->Vouch(
         address, query, kPeerCallTimeout,
@@ -146,10 +147,21 @@
     // run: it must read the store before it can take part in a change.
     const bool has_read_nothing =
         !vouch.has_reading && vouch.leaders_version == 0;
-    agrees = vouch.store_unreachable &&
+    const bool has_news = std::any_of(
+        vouch.leaders.begin(), vouch.leaders.end(),
+        [this](const StoredRow& row) { return m_view->IsNewLeaderRow(row); });
+    agrees = vouch.store_unreachable && !has_news &&
              ((vouch.leaders_version == m_view->LeadersVersion() &&
                (vouch.member_known || !vouch.has_reading)) ||
               (has_read_nothing && m_view->LeaseValid(m_loop->Now())));
+    if (has_news) {
+      // A change that this instance has missed ends its use of the primary,
+      // but the reading does not extend the lease.
+      RowChanges changes;
+      changes.rows = std::move(vouch.leaders);
+      changes.as_of = absl::InfinitePast();
+      m_on_rows(changes);
+    }
   }
   round->agreeing_members += agrees ? 1 : 0;
   if (round->agreeing_members == round->members && round->members > 0 &&
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -343,6 +343,34 @@
   }
 }
 
+// An announced row does not show that older rows are known. An instance that
+// had missed the change of one group and was told of another's kept its lease,
+// as no peer sent it the first one.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_RowAnnounced_AsksForAllSinceTheLastReading") {
+  const uint64_t read = m_view.Version();
+  GroupLeader leader;
+  leader.epoch = 2;
+  leader.phase = LeaderPhase::kChanging;
+  leader.primary = "db0";
+  leader.holder = "p1";
+  RowChanges announced;
+  announced.rows = {{LeadershipView::LeaderKey("h"),
+                     LeadershipView::EncodeLeader(leader), 60, false}};
+  m_view.Apply(announced, m_loop.Now());
+  VouchResponse answer = StoreUnreachable();
+  answer.member_known = true;
+  answer.has_reading = true;
+  answer.reading_age = absl::Hours(1);
+  answer.leaders_version = 60;
+  answer.leaders = {{LeadershipView::LeaderKey("g"),
+                     LeadershipView::EncodeLeader(leader), 50, false}};
+  QueryPeers(answer, answer);
+  CHECK(m_peers.last_query.leaders_version == read);
+  CHECK(m_view.Leader("g").phase == LeaderPhase::kChanging);
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
+}
+
 // The rows of members are removed with an update of a leader row. An instance
 // that has that update from a peer, and not from the store, does not know which
 // members are left.
