gateway: Do not promote logs of an older term

A deposed primary that was promoted again brought back commits which the first promotion had discarded.

All stale reads ran at the first successor. Ruled out: positions required of reads; the reads ran at the primary of the newest term.

Change: a target whose status shows an older term than the leader row's is not promoted for 12 s. The change waits for a target that has followed the newest primary and says so. Afterwards any log is taken. The fake of the tests lets replicas follow a new primary's term; in the test of a deposed primary that claims to lead, such a replica is promoted now instead of the deposed one.

Without the change LeadershipManager_OnlyDeposedPrimaryAnswers_AwaitsFollower fails.

--- a/Source/decision/promotion_choice.cc
+++ b/Source/decision/promotion_choice.cc
@@ -37,6 +37,9 @@
     if (!replica.received) {
       choice.unknown.push_back(replica.id);
     }
+    if (!replica.promotable) {
+      choice.excluded.push_back(replica.id);
+    }
   }
   choice.required = RequiredPosition(sync_replicas, replicas,
                                      choice.unknown.size(), old_primary);
--- a/Source/decision/promotion_choice.h
+++ b/Source/decision/promotion_choice.h
@@ -27,7 +27,9 @@
   // End of the log; nullopt if the target may hold acknowledged commits that
   // its answers do not show, for example because it does not answer.
   std::optional<Position> received;
-  bool promotable = true;  // False if the platform has refused to promote it.
+  // False if the platform has refused to promote it, or its log is of an older
+  // term.
+  bool promotable = true;
   bool draining = false;
 };
 
@@ -39,7 +41,8 @@
   // cannot be derived from the known logs. Position{} without synchronous
   // replicas.
   std::optional<Position> required;
-  std::vector<TargetId> unknown;  // Targets whose logs are unknown.
+  std::vector<TargetId> unknown;   // Targets whose logs are unknown.
+  std::vector<TargetId> excluded;  // Targets that must not be promoted.
 };
 
 // `replicas` lists every target that may hold acknowledged commits, except the
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -64,6 +64,9 @@
 // How long a change waits for a replica to receive the old primary's whole log.
 constexpr absl::Duration kCatchUpTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kStatusRetryDelay = absl::Milliseconds(60);
+// How long a change waits for a target that has followed the primary that is
+// replaced. A change is to be over within 18 s.
+constexpr absl::Duration kOutdatedLogTimeout = absl::Seconds(12);
 // A planned change that found no safe candidate is tried again after this. The
 // old primary serves until then.
 constexpr absl::Duration kPlannedRetryDelay = absl::Seconds(4);
@@ -1174,13 +1177,20 @@
   const uint32_t sync_replicas = m_groups->SyncReplicas(group);
   UpdateReplicas(group);
   const ReplicaTracker& tracker = StateOf(group).replicas;
+  const GroupLeader& leader = m_view.Leader(group);
   std::map<TargetId, ReplicaLog> replicas;
   for (const ListedTarget& target : m_groups->Targets(group)) {
     ReplicaLog replica;
     replica.id = target.id;
     replica.draining = target.draining;
-    replica.promotable = !change.rejected.contains(target.id);
     const auto status = change.statuses.find(target.id);
+    // A log of an older term, such as that of a deposed primary, lacks all
+    // commits of the newest term, and may have some that were discarded at its
+    // start and must not come back.
+    const bool outdated =
+        status != change.statuses.end() && status->second.term < leader.term &&
+        m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
+    replica.promotable = !outdated && !change.rejected.contains(target.id);
     if (status != change.statuses.end() &&
         (sync_replicas == 0 ||
          tracker.HasItsLog(target.id, status->second.received))) {
@@ -1226,7 +1236,8 @@
                                        const PromotionChoice& choice) {
   PrimaryChange* const change = FindChange(group, attempt);
   std::string wait = absl::StrCat(
-      "unknown_logs=", absl::StrJoin(choice.unknown, ","), " required=",
+      "unknown_logs=", absl::StrJoin(choice.unknown, ","),
+      " excluded=", absl::StrJoin(choice.excluded, ","), " required=",
       choice.required
           ? absl::StrCat(choice.required->term, ".", choice.required->lsn)
           : "unknown");
@@ -1288,7 +1299,7 @@
   const bool may_wait = now < change->collecting_since + kCatchUpTimeout;
   const bool behind = best && change->old_status &&
                       best_position < change->old_status->received;
-  if (!best && choice.required != Position{}) {
+  if (!best && (choice.required != Position{} || !choice.excluded.empty())) {
     if (change->planned && can_keep && !may_wait) {
       KeepPrimary(group, attempt);
     } else {
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -263,6 +263,12 @@
       if (status.primary && status.term == term) {
         return;  // The present primary stays as it is.
       }
+      for (auto& [id, database] : m_databases) {
+        if (database.group == group && database.alive &&
+            !database.status.primary) {
+          database.status.term = term + 1;  // Follows the new primary.
+        }
+      }
       status.primary = true;
       status.term = term + 1;
       status.received = {term + 1, status.received.lsn + 1};
