--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -1205,6 +1205,7 @@
   }
   replicas.erase(change.old_primary);
   std::vector<ReplicaLog> logs;
+  logs.reserve(replicas.size());
   for (const auto& [id, replica] : replicas) {
     logs.push_back(replica);
   }
--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -5,7 +5,6 @@
 
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -92,7 +91,11 @@
                                 {"sequence", 4},
                                 {"born", 17}};
   REQUIRE(Ok(DecodeTarget("i-1", valid.dump())));
-  const std::vector<std::pair<const char*, nlohmann::json>> invalid = {
+  struct InvalidField {
+    const char* name;
+    nlohmann::json value;
+  };
+  const std::vector<InvalidField> invalid = {
       {"service", ""},
       {"service", "a b"},
       {"service", "s\r\nQUERY"},
@@ -119,11 +122,11 @@
       {"born", 1.5},
       {"born", 1e300},
       {"born", "yesterday"}};
-  for (const auto& [field, value] : invalid) {
+  for (const InvalidField& field : invalid) {
     nlohmann::json document = valid;
-    document[field] = value;
-    CAPTURE(field);
-    CAPTURE(value.dump().substr(0, 40));
+    document[field.name] = field.value;
+    CAPTURE(field.name);
+    CAPTURE(field.value.dump().substr(0, 40));
     CHECK_FALSE(Ok(DecodeTarget("i-1", document.dump())));
   }
   for (const char* id : {"", "i 1", "i-1\r\n"}) {
