gateway: Log orders before their answers, and terms of rows and commits

Cause: the records of the incident cannot tell its hypotheses apart. An order is logged when it is answered, so that one whose sender ends, or whose change has ended, leaves only its candidate line. Rows are logged without the term and the version that they were stored with, and a commit's line does not say under which row it was acknowledged, nor in which term it was made.

--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -66,7 +66,8 @@
 }
 
 void CallerSession::LogDecision(const char* outcome,
-                                const std::string& cause) const {
+                                const std::string& cause,
+                                std::optional<Position> position) const {
   if (!m_request) {
     return;
   }
@@ -85,6 +86,15 @@
       {"ms",
        absl::StrCat(absl::ToInt64Milliseconds(now - request.arrival_time))},
   };
+  if (m_at_primary) {
+    const GroupLeader& leader = m_gateway->Leader(request.route.group);
+    record.fields.emplace_back("epoch", absl::StrCat(leader.epoch));
+    record.fields.emplace_back("term", absl::StrCat(leader.term));
+  }
+  if (position) {
+    record.fields.emplace_back(
+        "position", absl::StrCat(position->term, ".", position->lsn));
+  }
   if (!cause.empty()) {
     record.fields.emplace_back("cause", cause);
   }
@@ -474,7 +484,7 @@
   LogDecision(reply.code == ReplyCode::kComplete
                   ? "complete"
                   : ReplyCodeName(reply.code).data(),
-              reply.error_text);
+              reply.error_text, m_at_primary ? reply.position : std::nullopt);
   m_gateway->GetMetrics()->Count(
       absl::StrCat("statements/", ReplyCodeName(reply.code)));
   m_gateway->GetMetrics()->Observe(
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -117,7 +117,10 @@
   void ReleaseConnection();
   void DropConnection();
   bool CommitInFlight() const;
-  void LogDecision(const char* outcome, const std::string& cause) const;
+  // `position` is the primary's, as of its reply to the statement.
+  void LogDecision(const char* outcome,
+                   const std::string& cause,
+                   std::optional<Position> position = std::nullopt) const;
 
   Gateway* const m_gateway;
   const std::string m_database;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -337,6 +337,10 @@
   return m_leadership->MayAcknowledge(pool->Target().group, pool->Target().id);
 }
 
+const GroupLeader& Gateway::Leader(const GroupName& group) const {
+  return m_leadership->View().Leader(group);
+}
+
 void Gateway::OnNotPrimaryReply(const TargetPool* pool) {
   m_leadership->ReportDemotedPrimary(pool->Target().group);
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -76,6 +76,7 @@
   void Enqueue(CallerSession* session);
   void Dequeue(CallerSession* session);
   bool MayAcknowledge(const TargetPool* pool) const;
+  const GroupLeader& Leader(const GroupName& group) const;
   void OnNotPrimaryReply(const TargetPool* pool);
   void RecordPrimaryReply(const TargetPool* pool,
                           absl::Time sent,
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -416,7 +416,8 @@
   LOG(INFO) << "event=leader_row group=" << group << " epoch=" << leader.epoch
             << " phase="
             << (leader.phase == LeaderPhase::kOpen ? "open" : "changing")
-            << " primary=" << leader.primary << " holder=" << leader.holder;
+            << " primary=" << leader.primary << " term=" << leader.term
+            << " holder=" << leader.holder << " version=" << leader.row_version;
   PrimaryChange* const change = state.change.get();
   if (change != nullptr && change->published && leader.epoch > change->epoch) {
     EndChange(group);
@@ -1270,6 +1271,10 @@
     if (status.primary && status.term >= highest_term &&
         status.term > replaced_term &&
         (!old_claims || change->old_status->term < status.term)) {
+      LOG(INFO) << "event=promotion_seen group=" << group << " target=" << id
+                << " term=" << status.term << " replaced_term=" << replaced_term
+                << " ordered_by=unknown";
+      ++m_promotions_seen;
       change->candidate = id;
       change->candidate_term = status.term;
       PublishLeader(group, attempt);
@@ -1337,19 +1342,31 @@
   change->promotion_sent_at = m_loop->Now();
   change->promotion_possible_until =
       change->promotion_sent_at + kPromoteCallTimeout + kPromotionTimeout;
+  // Also logged before the answer, which may never come.
+  LOG(INFO) << "event=promotion_sent group=" << group
+            << " target=" << change->candidate << " token=" << m_token
+            << " epoch=" << change->epoch
+            << " term_before=" << change->term_before_promotion;
+  ++m_promotions_sent;
   m_promotions->Promote(
       group, change->candidate, m_settings.self, m_token, kPromoteCallTimeout,
-      [this, group, attempt, alive = m_alive](const Status& status) {
-        PrimaryChange* const sent =
-            *alive ? FindChange(group, attempt) : nullptr;
-        if (sent == nullptr) {
+      [this, group, attempt, target = change->candidate,
+       sent_at = m_loop->Now(), token = m_token,
+       alive = m_alive](const Status& status) {
+        if (!*alive) {
           return;
         }
         LOG(INFO) << "event=promotion_ordered group=" << group
-                  << " target=" << sent->candidate << " token=" << m_token
-                  << " outcome=\""
+                  << " target=" << target << " token=" << token << " outcome=\""
                   << (Ok(status) ? "accepted" : ErrorOf(status).message)
-                  << "\"";
+                  << "\" ms="
+                  << absl::ToInt64Milliseconds(m_loop->Now() - sent_at);
+        m_promotions_unanswered +=
+            !Ok(status) && ErrorOf(status).kind != ErrorKind::kConflict ? 1 : 0;
+        PrimaryChange* const sent = FindChange(group, attempt);
+        if (sent == nullptr) {
+          return;
+        }
         if (Ok(status)) {
           AwaitPrimary(group, attempt);
           return;
@@ -1394,6 +1411,14 @@
           return;
         }
         if (status && LeadsAfterPromotion(*awaited, *status)) {
+          LOG(INFO) << "event=promotion_seen group=" << group
+                    << " target=" << awaited->candidate
+                    << " term=" << status->term
+                    << " replaced_term=" << m_view.Leader(group).term
+                    << " ordered_by=self ms="
+                    << absl::ToInt64Milliseconds(m_loop->Now() -
+                                                 awaited->promotion_sent_at);
+          ++m_promotions_seen;
           awaited->candidate_term = status->term;
           PublishLeader(group, attempt);
           return;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -100,6 +100,11 @@
   const InstanceId& Self() const { return m_settings.self; }
   // Number of instances that share the targets' connections; at least 1.
   size_t MemberCount() const;
+  // Promotions of this run: orders sent, orders whose outcome the platform did
+  // not report, and promotions that were seen to take effect.
+  uint64_t PromotionsSent() const { return m_promotions_sent; }
+  uint64_t PromotionsUnanswered() const { return m_promotions_unanswered; }
+  uint64_t PromotionsSeen() const { return m_promotions_seen; }
 
   static const char kTable[];
 
@@ -224,6 +229,9 @@
   // When Tick() last found the lease invalid.
   absl::Time m_last_without_lease = absl::InfinitePast();
   uint64_t m_attempts = 0;
+  uint64_t m_promotions_sent = 0;
+  uint64_t m_promotions_unanswered = 0;
+  uint64_t m_promotions_seen = 0;
   // Newest fencing token of this run, and when it was requested.
   uint64_t m_token = 0;
   absl::Time m_token_requested_at = absl::InfinitePast();
