gateway: Confirm commits only in the term of the leader row

Cause: whether a commit may be confirmed was judged by the primary's name. An instance that misses two changes back to the same primary, for example because it was cut off, confirms a commit that was made before the first of them. Ruled out: the lease, which is valid again by then, and the confirmation of the change, which such an instance need not give. Change: the position in the reply to a commit shows the term in which it was made; it must be that of the leader row, or the commit is in doubt. Conclusion: an acknowledgement no longer depends on having seen each row.

--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -471,7 +471,7 @@
   // A commit must not be confirmed if the primary that made it may have been
   // replaced.
   if (commits && reply.code == ReplyCode::kComplete && m_at_primary &&
-      m_wrote && !m_gateway->MayAcknowledge(pool)) {
+      m_wrote && !m_gateway->MayAcknowledgeCommit(pool, reply.position)) {
     reply.code = ReplyCode::kInDoubt;
     reply.rows.clear();
     reply.error_code.clear();
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -337,6 +337,16 @@
   return m_leadership->MayAcknowledge(pool->Target().group, pool->Target().id);
 }
 
+bool Gateway::MayAcknowledgeCommit(
+    const TargetPool* pool,
+    const std::optional<Position>& position) const {
+  // A primary that was deposed and promoted again leads in a new term. It may
+  // have lost what it committed before.
+  const uint64_t term = Leader(pool->Target().group).term;
+  return MayAcknowledge(pool) &&
+         (!position || term == 0 || position->term == term);
+}
+
 const GroupLeader& Gateway::Leader(const GroupName& group) const {
   return m_leadership->View().Leader(group);
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -76,6 +76,9 @@
   void Enqueue(CallerSession* session);
   void Dequeue(CallerSession* session);
   bool MayAcknowledge(const TargetPool* pool) const;
+  // `position` is the one that the primary's reply to the commit showed.
+  bool MayAcknowledgeCommit(const TargetPool* pool,
+                            const std::optional<Position>& position) const;
   const GroupLeader& Leader(const GroupName& group) const;
   void OnNotPrimaryReply(const TargetPool* pool);
   void RecordPrimaryReply(const TargetPool* pool,
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -477,6 +477,30 @@
   CHECK(LastReply().code == ReplyCode::kInDoubt);
 }
 
+// The primary was replaced and promoted again before this instance, which had
+// been cut off, could see it: the commit belongs to the term that ended.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_CommitOfEarlierTerm_ReportsInDoubt") {
+  for (const uint64_t commit_term : {1, 3}) {
+    CAPTURE(commit_term);
+    Open("orders");
+    RunStatement(StatementKind::kWrite, "WRITE k v");
+    StoredRow row = m_table.rows.at(LeadershipView::LeaderKey("g"));
+    GroupLeader promoted_again = m_leadership.View().Leader("g");
+    promoted_again.epoch += 4;
+    promoted_again.term = 3;
+    row.value = LeadershipView::EncodeLeader(promoted_again);
+    RowTransaction transaction{LeadershipManager::kTable, {}, {row}, {}};
+    (void)m_table.Apply(transaction);
+    m_loop.RunFor(absl::Milliseconds(50));
+    REQUIRE(m_leadership.UsablePrimary("g") == "db0");
+    ReplyToOldest(ReplyCode::kComplete, TransactionState::kIdle,
+                  {commit_term, 9});
+    CHECK(LastReply().code ==
+          (commit_term == 3 ? ReplyCode::kComplete : ReplyCode::kInDoubt));
+  }
+}
+
 TEST_CASE_FIXTURE(SessionFixture,
                   "CallerSession_LeaseLost_RefusesSoonAsNotRun") {
   Open("orders");
