platform: Never send an order of a promotion late

Cause: the client of the platform sends one call at a time, and the timeout of a call began when it was sent. With several groups without a primary and a platform that does not answer, each order waited 0.8 s for every one before it, and was sent after its holder's lock could have been taken over. The same holds for a process that is paused between the order and its connection. Change: an order is sent within its timeout or never, checked right before it is written; kNotSent tells that it has no effect, so that nobody waits for it. Conclusion: the time that the record of an order allows for sending holds.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -1511,7 +1511,9 @@
                   << absl::ToInt64Milliseconds(m_loop->Now() - sent_at);
         const bool refused =
             !Ok(status) && ErrorOf(status).kind == ErrorKind::kConflict;
-        m_promotions_unanswered += !Ok(status) && !refused ? 1 : 0;
+        const bool ended = refused || (!Ok(status) && ErrorOf(status).kind ==
+                                                          ErrorKind::kNotSent);
+        m_promotions_unanswered += !Ok(status) && !ended ? 1 : 0;
         PrimaryChange* const sent = FindChange(group, attempt);
         if (sent == nullptr) {
           return;
@@ -1521,8 +1523,10 @@
           return;
         }
         if (refused) {
-          // The order has ended without an effect.
           sent->rejected.insert(target);
+        }
+        if (ended) {
+          // The order has no effect.
           sent->orders = earlier_orders;
           sent->orders_end = earlier_end;
         }
--- a/Source/gateway/row_store.h
+++ b/Source/gateway/row_store.h
@@ -77,8 +77,9 @@
 
   virtual ~PromotionApi() = default;
 
-  // kConflict means that the target does not run. After any other error the
-  // outcome is unknown.
+  // The order is sent within `timeout` of the call, or never. kConflict means
+  // that the target does not run, and kNotSent that the order was not sent;
+  // neither has an effect. After any other error the outcome is unknown.
   virtual void Promote(const std::string& group,
                        const std::string& target,
                        const std::string& holder,
