gateway: Order nothing once the promotion lock is released

Cause: an instance that stops releases the lock and removes its member row, whereupon others take over at once, but its own changes went on. An order whose record was stored just before was sent after the release, with a token lower than the successor's. Change: stopping ends all changes first. Conclusion: nothing that a holder does outlives the rows that allow it.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -211,6 +211,11 @@
   // Once the member row is removed, changes no longer wait for this instance.
   m_view.RenounceLease();
   m_tick_timer.reset();
+  // Others may order promotions as soon as the lock is released.
+  for (const auto& [group, state] : m_states) {
+    state->change.reset();
+    state->restart_timer.reset();
+  }
   m_on_stopped = std::move(done);
   auto finish = [this, alive = m_alive]() {
     if (*alive && m_on_stopped) {
--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -66,6 +66,10 @@
   void SetDown(bool down) { m_down = down; }
   // Applies the next transaction only after `late` and loses its answer.
   void LoseNextAnswer(absl::Duration late) { m_lose_after = late; }
+  // Applies transactions in time, but answers them after `delay`.
+  void SetCommitAnswerDelay(absl::Duration delay) {
+    m_commit_answer_delay = delay;
+  }
   // Delays the answers to polls by `delay`.
   void SetPollDelay(absl::Duration delay) { m_poll_delay = delay; }
   // Makes the next poll fail because the store no longer has the changes that
@@ -117,8 +121,14 @@
       return;
     }
     Run(timeout, [this, transaction, done](bool reachable) {
-      done(reachable ? m_table->Apply(transaction)
-                     : Result<uint64_t>(Unreachable()));
+      const Result<uint64_t> result = reachable
+                                          ? m_table->Apply(transaction)
+                                          : Result<uint64_t>(Unreachable());
+      if (m_commit_answer_delay > absl::ZeroDuration()) {
+        m_loop->Add(m_commit_answer_delay, [done, result]() { done(result); });
+      } else {
+        done(result);
+      }
     });
   }
 
@@ -157,6 +167,7 @@
   VirtualLoop* const m_loop;
   FakeTable* const m_table;
   absl::Duration m_poll_delay;
+  absl::Duration m_commit_answer_delay;
   bool m_down = false;
   bool m_history_lost = false;
   std::optional<absl::Duration> m_lose_after;
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -287,6 +287,7 @@
                     target, " is promoted");
     }
     promoted.push_back(target);
+    ordered_by.push_back(holder);
     const OrderFate fate =
         order_fate ? order_fate(target)
                    : OrderFate{kPromotionTime, !lose_promotion_answer};
@@ -318,7 +319,8 @@
   VirtualLoop m_loop;
   FakeTable m_table;
   std::map<TargetId, FakeDatabase> m_databases;
-  std::vector<TargetId> promoted;
+  std::vector<TargetId> promoted;      // The target of each order,
+  std::vector<InstanceId> ordered_by;  // and who sent it.
   bool lose_promotion_answer = false;  // Applies to the next promotion only.
   // Chooses the fate of each order, by its target. If unset, orders take effect
   // after kPromotionTime.
--- a/Tests/gateway/promotion_order_test.cc
+++ b/Tests/gateway/promotion_order_test.cc
@@ -101,6 +101,43 @@
   CHECK(m_cluster->At(0).Manager().UsablePrimary("g0").has_value());
 }
 
+// A stopping holder releases the promotion lock. An order that it had recorded
+// before must not follow that.
+TEST_CASE_FIXTURE(PromotionOrderFixture,
+                  "PromotionOrder_HolderStopsBeforeSending_SendsNothing") {
+  Start(3);
+  m_cluster->m_databases["g0-db0"].alive = false;
+  const auto recorded = [this]() {
+    const std::string& row =
+        m_cluster->m_table.rows.at(LeadershipView::LeaderKey("g0")).value;
+    return row.find("\"orders\":1") != std::string::npos;
+  };
+  InstanceId holder;
+  for (int step = 0; step < 2000 && !recorded(); ++step) {
+    for (size_t index = 0; index < 3; ++index) {
+      m_cluster->At(index).ReportUnresponsivePrimaries();
+    }
+    m_cluster->m_loop.RunFor(absl::Milliseconds(1));
+    const GroupLeader& leader = m_cluster->At(0).Manager().View().Leader("g0");
+    if (leader.phase == LeaderPhase::kChanging && holder.empty()) {
+      holder = leader.holder;
+      FakeRowStore& store = m_cluster->Find(holder)->store;
+      store.SetCommitAnswerDelay(absl::Milliseconds(30));
+      store.SetPollDelay(absl::Milliseconds(100));
+    }
+  }
+  REQUIRE(recorded());
+  m_cluster->Find(holder)->Manager().Stop([]() {});
+  m_cluster->RunFor(absl::Seconds(1));
+  for (const InstanceId& sender : m_cluster->ordered_by) {
+    CHECK(sender != holder);
+  }
+  m_cluster->Kill(holder);
+  m_cluster->RunFor(absl::Seconds(12));
+  const std::string other = holder == "i0" ? "i1" : "i0";
+  CHECK(m_cluster->Find(other)->Manager().UsablePrimary("g0") == "g0-db1");
+}
+
 // The platform's refusal says that the order has no effect, so that the next
 // target need not wait for it.
 TEST_CASE_FIXTURE(PromotionOrderFixture,
