gateway: Confirm commits of a higher term than the leader row's

All commits of a group would be in doubt for good. Cause: a commit was confirmed only in exactly the row's term. An order that is repeated before the first takes effect may be performed as another promotion of the same target, so that it leads one term above the row. Change: a commit of a lower term than the row's is in doubt, one of a higher term is confirmed. Evidence: CallerSession_CommitOfEarlierTerm_ReportsInDoubt with a commit of term 4 in a row of term 3 answered 'in doubt' before and passes; the commit of term 1 is still in doubt.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -340,11 +340,12 @@
 bool Gateway::MayAcknowledgeCommit(
     const TargetPool* pool,
     const std::optional<Position>& position) const {
-  // A primary that was deposed and promoted again leads in a new term. It may
-  // have lost what it committed before.
+  // A primary that was deposed and promoted again leads in a higher term. It
+  // may have lost what it committed before. A repeated order can also take a
+  // primary that was never deposed to a higher term than the row's.
   const uint64_t term = Leader(pool->Target().group).term;
   return MayAcknowledge(pool) &&
-         (!position || term == 0 || position->term == term);
+         (!position || term == 0 || position->term >= term);
 }
 
 const GroupLeader& Gateway::Leader(const GroupName& group) const {
