gateway: Recover when the target of pending orders is lost or restarts

A group without a primary for good: with the promoted target lost before it was published, an old primary that had been deposed was never a candidate. It is a replica like the others now. 2. An acknowledged write lost: a target that restarted without its log was ordered once more while an earlier order for it was pending. The record now has the end of its log, and a shorter log is not ordered again. 3. An instance that missed a row took an unknown order of an earlier version for one that had ended long ago. More orders than were known are new ones. Also, a target is never taken to lead in a lower term than the row's.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -127,6 +127,7 @@
   // member cannot extend its lease by unanimity.
   std::map<InstanceId, absl::Time> unanimity_impossible_since;
   TargetId candidate;
+  Position candidate_log;       // End of its log when it was chosen.
   uint64_t candidate_term = 0;  // Set once the candidate is known to lead.
   // Highest term known when the promotion was ordered. The promoted target
   // leads in a higher one.
@@ -1242,7 +1243,19 @@
       replicas.try_emplace(id, ReplicaLog{id, std::nullopt});
     }
   }
+  // A deposed old primary is a replica like the others. The commits that it has
+  // are also on enough of those, so that its log may be unknown.
   replicas.erase(change.old_primary);
+  if (change.old_status && !change.old_status->primary &&
+      (sync_replicas == 0 ||
+       tracker.HasItsLog(change.old_primary, change.old_status->received))) {
+    const bool outdated =
+        change.old_status->term < leader.term &&
+        m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
+    replicas[change.old_primary] = {
+        change.old_primary, change.old_status->received,
+        !outdated && !change.rejected.contains(change.old_primary), false};
+  }
   std::vector<ReplicaLog> logs;
   logs.reserve(replicas.size());
   for (const auto& [id, replica] : replicas) {
@@ -1294,6 +1307,7 @@
 }
 
 std::optional<TargetId> LeadershipManager::FindLeadingTarget(
+    const GroupName& group,
     const PrimaryChange& change) const {
   // Without any order, the old primary is the only one that can lead. A claim
   // alone proves nothing: a target that was deposed goes on claiming to lead
@@ -1303,6 +1317,7 @@
   const TargetStatus* const status = StatusOf(change, target);
   if (status == nullptr || !status->primary ||
       status->term < HighestTerm(change) ||
+      status->term < m_view.Leader(group).term ||
       (ordered && status->term <= change.orders.term_before)) {
     return std::nullopt;
   }
@@ -1326,21 +1341,17 @@
                &LeadershipManager::CollectStatuses);
 }
 
-bool LeadershipManager::MayOrderAgain(const GroupName& group,
-                                      const PrimaryChange& change) {
+bool LeadershipManager::MayOrderAgain(const PrimaryChange& change) {
   const TargetStatus* const status = StatusOf(change, change.orders.target);
   return status != nullptr && !change.rejected.contains(change.orders.target) &&
-         (m_groups->SyncReplicas(group) == 0 ||
-          change.orders.target == change.old_primary ||
-          StateOf(group).replicas.HasItsLog(change.orders.target,
-                                            status->received));
+         status->received >= change.orders.received;
 }
 
 void LeadershipManager::ChooseCandidate(const GroupName& group,
                                         uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
   const absl::Time now = m_loop->Now();
-  const std::optional<TargetId> leading = FindLeadingTarget(*change);
+  const std::optional<TargetId> leading = FindLeadingTarget(group, *change);
   if (leading && (*leading != change->old_primary || !change->planned)) {
     const TargetStatus& status = *StatusOf(*change, *leading);
     if (*leading == change->old_primary &&
@@ -1361,7 +1372,7 @@
     return;
   }
   if (change->orders.count > 0 && now < change->orders_end) {
-    if (!leading && MayOrderAgain(group, *change)) {
+    if (!leading && MayOrderAgain(*change)) {
       Promote(group, attempt, change->orders.target,
               *StatusOf(*change, change->orders.target));
     } else {
@@ -1397,7 +1408,7 @@
             << " lsn=" << choice.received.lsn
             << " candidates=" << change->statuses.size()
             << " behind=" << behind;
-  Promote(group, attempt, *choice.target, change->statuses.at(*choice.target));
+  Promote(group, attempt, *choice.target, *StatusOf(*change, *choice.target));
 }
 
 void LeadershipManager::Promote(const GroupName& group,
@@ -1406,6 +1417,7 @@
                                 const TargetStatus& status) {
   PrimaryChange* const change = FindChange(group, attempt);
   change->candidate = target;
+  change->candidate_log = status.received;
   change->term_before_promotion =
       std::max(HighestTerm(*change), m_view.Leader(group).term);
   change->candidate_claimed =
@@ -1438,6 +1450,7 @@
   next.orders.count =
       m_loop->Now() < change->orders_end ? change->orders.count + 1 : 1;
   next.orders.target = change->candidate;
+  next.orders.received = change->candidate_log;
   next.orders.term_before = change->term_before_promotion;
   next.orders.recorded_after = leader.row_version;
   const std::string key = LeadershipView::LeaderKey(group);
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -192,12 +192,13 @@
   static uint64_t HighestTerm(const PrimaryChange& change);
   // The target that leads the group, if the statuses and the recorded orders
   // prove it.
-  std::optional<TargetId> FindLeadingTarget(const PrimaryChange& change) const;
+  std::optional<TargetId> FindLeadingTarget(const GroupName& group,
+                                            const PrimaryChange& change) const;
   // Queries the targets again later, because the orders of another target may
   // still take effect.
   void AwaitOrders(const GroupName& group, uint64_t attempt);
   // True if the target of the pending orders may be ordered once more.
-  bool MayOrderAgain(const GroupName& group, const PrimaryChange& change);
+  static bool MayOrderAgain(const PrimaryChange& change);
   // Records an order for `target`, whose status is given, and sends it.
   void Promote(const GroupName& group,
                uint64_t attempt,
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -220,6 +220,10 @@
   next.orders.target = reader->NameOr("ordered", "");
   next.orders.term_before =
       reader->NumberOr("ordered_after", 0, 0, kMaxCounter);
+  next.orders.received.term =
+      reader->NumberOr("ordered_log_term", 0, 0, kMaxCounter);
+  next.orders.received.lsn =
+      reader->NumberOr("ordered_log_lsn", 0, 0, kMaxCounter);
   next.orders.recorded_after =
       reader->NumberOr("recorded_after", 0, 0, kMaxCounter);
   if (!Ok(reader->Result())) {
@@ -229,6 +233,7 @@
   next.seen = now;
   const bool same_orders =
       orders_shown && known.phase != LeaderPhase::kUnknown &&
+      next.orders.count <= known.orders.count &&
       known.orders.recorded_after == next.orders.recorded_after;
   next.orders_seen = same_orders ? known.orders_seen : now;
   if (next.phase == LeaderPhase::kChanging) {
@@ -386,6 +391,8 @@
               {"orders", leader.orders.count},
               {"ordered", leader.orders.target},
               {"ordered_after", leader.orders.term_before},
+              {"ordered_log_term", leader.orders.received.term},
+              {"ordered_log_lsn", leader.orders.received.lsn},
               {"recorded_after", leader.orders.recorded_after}}
       .dump();
 }
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -50,6 +50,8 @@
 struct PendingOrders {
   TargetId target;  // Empty if rows of an earlier version do not show it.
   uint64_t count = 0;
+  // End of the target's log at that time. A shorter log was lost in a restart.
+  Position received;
   // The highest term known when the newest order was recorded. If `target`
   // leads in a higher one, no other order has taken effect after its own.
   uint64_t term_before = 0;
