platform: Report orders that were not sent, and let none arrive late

An order that was abandoned after 0.8 s could still be delivered by the kernel up to 3 s after it was written, and a queued one after the lock was released. Change: an order of which nothing was written fails as not sent. DiscardUnsent() drops what is queued when the instance stops.

--- a/Source/gateway/row_store.h
+++ b/Source/gateway/row_store.h
@@ -86,6 +86,8 @@
                        uint64_t fencing_token,
                        absl::Duration timeout,
                        std::function<void(Status)> done) = 0;
+  // Makes all orders fail with kNotSent that were not sent yet.
+  virtual void DiscardUnsent() {}
 };
 
 }  // namespace heatherwick
--- a/Tests/platform/http_promotion_api_test.cc
+++ b/Tests/platform/http_promotion_api_test.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,5 +68,38 @@
   CHECK(*m_received == 1);
 }
 
+// A platform that refuses connections got no order, so that nobody has to wait
+// for its effect.
+TEST_CASE_FIXTURE(HttpPromotionApiFixture,
+                  "HttpPromotionApi_ConnectionRefused_ReportsNotSent") {
+  m_server->Close();
+  boost::asio::io_context context;
+  HttpPromotionApi api(&context, m_endpoint);
+  std::optional<ErrorKind> outcome;
+  api.Promote("g", "db1", "i0", 7, absl::Milliseconds(400),
+              [&](const Status& status) { outcome = ErrorOf(status).kind; });
+  context.run();
+  CHECK(outcome == ErrorKind::kNotSent);
+}
+
+// An instance that stops releases its lock; its queued orders must not follow.
+TEST_CASE_FIXTURE(HttpPromotionApiFixture,
+                  "HttpPromotionApi_UnsentDiscarded_IsNeverSent") {
+  boost::asio::io_context context;
+  HttpPromotionApi api(&context, m_endpoint);
+  std::vector<ErrorKind> outcomes;
+  for (int order = 0; order < 2; ++order) {
+    api.Promote("g", "db1", "i0", 7, absl::Milliseconds(400),
+                [&](const Status& status) {
+                  outcomes.push_back(ErrorOf(status).kind);
+                });
+  }
+  api.DiscardUnsent();
+  context.run();
+  CHECK(outcomes ==
+        std::vector<ErrorKind>{ErrorKind::kNotSent, ErrorKind::kNotSent});
+  CHECK(*m_received == 0);
+}
+
 }  // namespace
 }  // namespace heatherwick::platform
