gateway: Judge orders as ended only by statuses asked for afterwards

Found by the model of orders in flight and by the review. Cause: whether orders had ended was judged when a decision was made, from statuses that were asked for before. An order that took effect in between was taken for the next one's effect, so that one order fewer than in flight was passed on in the open row. And an old primary was taken to lead because one order for it changed nothing, although an order that arrived after its time may have deposed it meanwhile. Change: a collection of statuses notes at its begin whether the orders have ended; the choice and the record go by that. A claim to lead is believed when two orders in a row have changed nothing. The model's case was not reproduced with the code: it holds in the model with this rule.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -140,6 +140,9 @@
   // the leader row, and the time at which they have ended.
   PendingOrders orders;
   absl::Time orders_end = absl::InfinitePast();
+  // The orders had ended when the last collection of statuses began, so that
+  // none of them took effect after a status was taken.
+  bool orders_ended = false;
   // One of `orders` was seen to take effect.
   bool effect_seen = false;
   std::unique_ptr<Timer> timer;
@@ -163,6 +166,9 @@
   bool probing = false;
   ReplicaTracker replicas;  // Only kept with synchronous replicas.
   std::unique_ptr<PrimaryChange> change;
+  // A target that claimed to lead in this term, and still did when an order of
+  // this instance for it had ended.
+  std::optional<std::pair<TargetId, uint64_t>> confirmed_claim;
   std::unique_ptr<Timer> restart_timer;
   // Epoch of the newest change for which this instance began to quiesce.
   uint64_t quiescing_epoch = 0;
@@ -213,6 +219,7 @@
   m_view.RenounceLease();
   m_tick_timer.reset();
   // Others may order promotions as soon as the lock is released.
+  m_promotions->DiscardUnsent();
   for (const auto& [group, state] : m_states) {
     state->change.reset();
     state->restart_timer.reset();
@@ -424,6 +431,9 @@
   state.primary_unresponsive = false;
   state.primary_demoted = false;
   state.vote_cast_at = absl::InfinitePast();
+  if (leader.phase == LeaderPhase::kOpen || leader.holder != m_settings.self) {
+    state.confirmed_claim.reset();
+  }
   LOG(INFO) << "event=leader_row group=" << group << " epoch=" << leader.epoch
             << " phase="
             << (leader.phase == LeaderPhase::kOpen ? "open" : "changing")
@@ -1156,6 +1166,7 @@
   }
   change->statuses.clear();
   change->old_status.reset();
+  change->orders_ended = m_loop->Now() >= change->orders_end;
   const std::vector<TargetId> queried = TargetsToQuery(group, *change);
   change->statuses_pending = queried.size();
   if (queried.empty()) {
@@ -1371,7 +1382,7 @@
     PublishLeader(group, attempt);
     return;
   }
-  if (change->orders.count > 0 && now < change->orders_end) {
+  if (change->orders.count > 0 && !change->orders_ended) {
     if (!leading && MayOrderAgain(*change)) {
       Promote(group, attempt, change->orders.target,
               *StatusOf(*change, change->orders.target));
@@ -1416,6 +1427,11 @@
                                 const TargetId& target,
                                 const TargetStatus& status) {
   PrimaryChange* const change = FindChange(group, attempt);
+  std::optional<std::pair<TargetId, uint64_t>>& claim =
+      StateOf(group).confirmed_claim;
+  if (claim && claim->first != target) {
+    claim.reset();
+  }
   change->candidate = target;
   change->candidate_log = status.received;
   change->term_before_promotion =
@@ -1447,8 +1463,7 @@
     return;
   }
   GroupLeader next = leader;
-  next.orders.count =
-      m_loop->Now() < change->orders_end ? change->orders.count + 1 : 1;
+  next.orders.count = change->orders_ended ? 1 : change->orders.count + 1;
   next.orders.target = change->candidate;
   next.orders.received = change->candidate_log;
   next.orders.term_before = change->term_before_promotion;
@@ -1554,13 +1569,14 @@
 }
 
 bool LeadershipManager::LeadsAfterPromotion(const PrimaryChange& change,
-                                            const TargetStatus& status) const {
+                                            const TargetStatus& status,
+                                            absl::Time queried_at) const {
   // A deposed primary that is promoted again claims to lead before the
   // promotion takes effect. If it still does so in the same term when its
   // orders have ended, it has led all the time.
   const bool still_leads = change.candidate_claimed &&
                            status.term == change.term_before_promotion &&
-                           m_loop->Now() >= change.orders_end;
+                           queried_at >= change.orders_end;
   return status.primary &&
          (status.term > change.term_before_promotion || still_leads);
 }
@@ -1580,14 +1596,14 @@
   }
   m_groups->QueryStatus(
       group, change->candidate, kStatusTimeout,
-      [this, group, attempt,
+      [this, group, attempt, queried_at = m_loop->Now(),
        alive = m_alive](const std::optional<TargetStatus>& status) {
         PrimaryChange* const awaited =
             *alive ? FindChange(group, attempt) : nullptr;
         if (awaited == nullptr) {
           return;
         }
-        if (status && LeadsAfterPromotion(*awaited, *status)) {
+        if (status && LeadsAfterPromotion(*awaited, *status, queried_at)) {
           LOG(INFO) << "event=promotion_seen group=" << group
                     << " target=" << awaited->candidate
                     << " term=" << status->term
@@ -1597,6 +1613,17 @@
                                                  awaited->promotion_sent_at);
           ++m_promotions_seen;
           awaited->effect_seen = status->term > awaited->term_before_promotion;
+          // Another target may have taken the lead since the first order, by an
+          // order that arrived late. A second order shows this by a higher
+          // term.
+          GroupState& state = StateOf(group);
+          const std::pair claim(awaited->candidate, status->term);
+          if (!awaited->effect_seen &&
+              std::exchange(state.confirmed_claim, claim) != claim) {
+            awaited->orders_ended = true;
+            Promote(group, attempt, awaited->candidate, *status);
+            return;
+          }
           awaited->candidate_term = status->term;
           PublishLeader(group, attempt);
           return;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -212,7 +212,8 @@
                      const PendingOrders& orders);
   // True if the status shows that the promotion has taken effect.
   bool LeadsAfterPromotion(const PrimaryChange& change,
-                           const TargetStatus& status) const;
+                           const TargetStatus& status,
+                           absl::Time queried_at) const;
   void AwaitPrimary(const GroupName& group, uint64_t attempt);
   void PublishLeader(const GroupName& group, uint64_t attempt);
   void RestartChange(const GroupName& group,
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -40,6 +40,7 @@
   bool answered = true;
   // The platform answers that the target does not run, and performs nothing.
   bool refused = false;
+  bool not_sent = false;  // The sender could not connect.
 };
 
 class LeadershipCluster : public PromotionApi {
@@ -292,13 +293,19 @@
         order_fate ? order_fate(target)
                    : OrderFate{kPromotionTime, !lose_promotion_answer};
     lose_promotion_answer = false;
-    if (fate.effect_after != absl::InfiniteDuration() && !fate.refused) {
+    // An order for the present primary changes nothing, also if another target
+    // takes the lead before the order would have taken effect.
+    const bool leads = decided_when_ordered && m_leading.at(group) == target;
+    if (fate.effect_after != absl::InfiniteDuration() && !fate.refused &&
+        !fate.not_sent && !leads) {
       m_loop.Add(fate.effect_after,
                  [this, group, target]() { TakeEffect(group, target); });
     }
     Status answer = std::monostate{};
     if (!fate.answered) {
       answer = Error{ErrorKind::kUnavailable, "no answer in time", ""};
+    } else if (fate.not_sent) {
+      answer = Error{ErrorKind::kNotSent, "connection refused", ""};
     } else if (fate.refused) {
       answer = Error{ErrorKind::kConflict, "the target does not run", ""};
     }
@@ -325,6 +332,9 @@
   // Chooses the fate of each order, by its target. If unset, orders take effect
   // after kPromotionTime.
   std::function<OrderFate(const TargetId&)> order_fate;
+  // When it is decided whether the target of an order is the present primary:
+  // when the order arrives, or when it takes effect.
+  bool decided_when_ordered = false;
   size_t wrong_acknowledgements = 0;
   absl::Duration poll_delay;  // Used by instances that are added later.
   uint32_t sync_replicas = 0;
--- a/Tests/gateway/promotion_recovery_test.cc
+++ b/Tests/gateway/promotion_recovery_test.cc
@@ -94,6 +94,40 @@
   }
 }
 
+// The platform refuses connections. The old primary was silent for a moment
+// only, and nobody can have replaced it.
+TEST_CASE_FIXTURE(PromotionRecoveryFixture,
+                  "PromotionRecovery_NoOrderWasSent_OldPrimaryLeadsAgain") {
+  Start(3);
+  m_cluster->order_fate = [](const TargetId&) {
+    return OrderFate{absl::InfiniteDuration(), true, false, true};
+  };
+  SetUnreachable({"g0-db0"});
+  RunUntilOrdered("g0-db1");
+  SetUnreachable({});
+  m_cluster->RunFor(absl::Seconds(3));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// An order arrives after its time, between two looks at an old primary that
+// cannot reach its successor and goes on claiming to lead.
+TEST_CASE_FIXTURE(
+    PromotionRecoveryFixture,
+    "PromotionRecovery_OrderArrivesLate_DeposedPrimaryIsNotUsed") {
+  Start(2);
+  m_cluster->decided_when_ordered = true;
+  m_cluster->order_fate = [](const TargetId& target) {
+    return OrderFate{absl::Milliseconds(target == "g0-db1" ? 4600 : 1000),
+                     target != "g0-db1"};
+  };
+  SetUnreachable({"g0-db0"});
+  RunUntilOrdered("g0-db1");
+  SetUnreachable({"g0-db1"});
+  m_cluster->RunFor(absl::Seconds(18));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
 // An instance that missed the row in which an earlier version changed the
 // primary must not take that row's unknown order for an old one.
 TEST_CASE("LeadershipView_UnknownOrderOfMissedRow_CountsFromItsReading") {
