tests: Let orders of promotions take effect late in the soak

Seen by callers: writes acknowledged at a replaced primary (the incident of orders in flight). The soak missed it. Ruled out: the same faults evenly spread with late orders (first mix). Change: each order draws the delay of its effect; a database that does not run is refused (409); a replaced primary ends once the new one runs. Ports come from std::random_device and are guarded by a bound port; a port that is not its own ends a soak with status 2. The class Soak has files of its own.

--- a/Tests/platform/end_to_end_test.cc
+++ b/Tests/platform/end_to_end_test.cc
@@ -87,8 +87,8 @@
 // the server threads use it until the process ends.
 struct Deployment {
   Deployment() {
-    store.on_promote = [this](const std::string&, const std::string& id) {
-      group.Promote(id);
+    store.on_promote = [this](const FakePromotionOrder& order) {
+      group.Promote(order.id);
       return 200U;
     };
     store.Put("op", "config", Document(3, "orders"));
--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -133,9 +133,21 @@
     http::response<http::string_body> response;
     response.version(11);
     std::string reply;
-    response.result(HandleRequest(std::string(request.method_string()),
-                                  std::string(request.target()), request.body(),
-                                  &reply));
+    if (request.method() == http::verb::post &&
+        request.target() == "/promote") {
+      const json order = json::parse(request.body());
+      const unsigned status = on_promote(
+          {order["service"], order["id"],
+           std::string(request["X-Heatherwick-Duty-Holder"]),
+           Number(std::string(request["X-Heatherwick-Fencing-Token"]))});
+      if (status == 0) {
+        return;
+      }
+      response.result(status);
+    } else {
+      response.result(
+          HandleRequest(std::string(request.target()), request.body(), &reply));
+    }
     response.body() = reply;
     response.prepare_payload();
     const uint64_t lose_interval = m_lose_interval;
@@ -143,10 +155,6 @@
         m_calls % lose_interval == 0) {
       return;
     }
-    if (request.target() == "/promote" && on_token) {
-      on_token(std::string(request["X-Heatherwick-Duty-Holder"]),
-               Number(std::string(request["X-Heatherwick-Fencing-Token"])));
-    }
     http::write(socket, response, error);
     if (error) {
       return;
@@ -178,14 +186,9 @@
       .dump();
 }
 
-unsigned FakeStore::HandleRequest(const std::string& method,
-                                  const std::string& target,
+unsigned FakeStore::HandleRequest(const std::string& target,
                                   const std::string& body,
                                   std::string* reply) {
-  if (method == "POST" && target == "/promote") {
-    const json order = json::parse(body);
-    return on_promote(order["service"], order["id"]);
-  }
   if (m_busy) {
     return 503;
   }
@@ -284,8 +287,15 @@
   }).detach();
 }
 
-void FakeDatabaseGroup::Promote(const std::string& id) {
-  RunLater(m_options.promotion_delay, [this, id]() {
+unsigned FakeDatabaseGroup::Promote(const std::string& id,
+                                    std::optional<absl::Duration> delay) {
+  {
+    absl::MutexLock lock(&m_mutex);
+    if (!m_databases[id].alive) {
+      return 409;
+    }
+  }
+  RunLater(delay.value_or(m_options.promotion_delay), [this, id]() {
     absl::MutexLock lock(&m_mutex);
     Database& promoted = m_databases[id];
     if (id == m_primary || !promoted.alive) {
@@ -303,15 +313,23 @@
     promoted.term = ++m_term;
     ++promoted.log_offset;
     Register(id);
-    RunLater(m_options.demotion_delay, [this, old]() {
-      // Without a delay this runs while the caller still holds m_mutex, so the
-      // lock must be taken in another thread.
-      std::thread([this, old]() {
-        absl::MutexLock demoting(&m_mutex);
-        Demote(old);
-      }).detach();
-    });
+    // Another thread, because this one holds m_mutex.
+    std::thread([this, old]() { DemoteLater(old); }).detach();
   });
+  return 200;
+}
+
+void FakeDatabaseGroup::DemoteLater(const std::string& id) {
+  while (true) {
+    absl::SleepFor(m_options.demotion_delay);
+    absl::MutexLock lock(&m_mutex);
+    // A replaced primary continues until it can reach the new one.
+    if (m_databases[m_primary].alive ||
+        m_options.demotion_delay <= absl::ZeroDuration()) {
+      Demote(id);
+      return;
+    }
+  }
 }
 
 void FakeDatabaseGroup::Demote(const std::string& id) {
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -46,6 +47,14 @@
   std::set<int> m_open;  // Descriptors of open connections.
 };
 
+// An order of a promotion, as the platform receives it.
+struct FakePromotionOrder {
+  std::string service;
+  std::string id;
+  std::string holder;
+  uint64_t fencing_token = 0;
+};
+
 class FakeStore {
  public:
   FakeStore();
@@ -60,11 +69,9 @@
   void LoseAnswers(uint64_t interval) { m_lose_interval = interval; }
   // Answers 503 to every call.
   void SetBusy(bool busy) { m_busy = busy; }
-  // Called for POST /promote with the service and the id; returns the HTTP
-  // status.
-  std::function<unsigned(const std::string&, const std::string&)> on_promote;
-  // Called with the holder and the fencing token of each promotion.
-  std::function<void(const std::string&, uint64_t)> on_token;
+  // Called for POST /promote; returns the HTTP status, or 0 to close the
+  // connection without a response.
+  std::function<unsigned(const FakePromotionOrder&)> on_promote;
   uint64_t Calls() const { return m_calls; }
 
  private:
@@ -75,8 +82,7 @@
   };
 
   void Serve(boost::asio::ip::tcp::socket socket);
-  unsigned HandleRequest(const std::string& method,
-                         const std::string& target,
+  unsigned HandleRequest(const std::string& target,
                          const std::string& body,
                          std::string* reply);
   std::string FormatRows(const std::string& table,
@@ -105,9 +111,12 @@
 };
 
 struct FakeGroupOptions {
-  absl::Duration lag;              // From a commit to its receipt by replicas.
-  absl::Duration promotion_delay;  // From the request to the promotion.
-  // From the promotion to the end of the old primary's writes.
+  absl::Duration lag;  // From a commit to its receipt by replicas.
+  // From the order of a promotion to its effect, unless Promote is given a
+  // delay.
+  absl::Duration promotion_delay;
+  // From the promotion to the end of the old primary's writes, if the new
+  // primary runs then.
   absl::Duration demotion_delay = absl::Seconds(1);
 };
 
@@ -126,7 +135,11 @@
                     Route route = nullptr);
 
   const std::string& Name() const { return m_service; }
-  void Promote(const std::string& id);
+  // Takes an order of a promotion and returns the HTTP status of its answer.
+  // The order takes effect after `delay`, whatever becomes of the answer.
+  // Whether `id` is the present primary is decided at the effect.
+  unsigned Promote(const std::string& id,
+                   std::optional<absl::Duration> delay = std::nullopt);
   void SetDraining(const std::string& id, bool draining);
   // Stops the database; connections are refused until it is restarted.
   void Crash(const std::string& id);
@@ -176,6 +189,8 @@
   // the replication lag.
   void Replicate(Database* database);
   void Demote(const std::string& id);
+  // Demotes `id` after the demotion delay, and not before the new primary runs.
+  void DemoteLater(const std::string& id);
   std::pair<uint64_t, uint64_t> LogEnd(const Database& database) const;
   std::string FormatReady(const Database& database,
                           const Session& session) const;
--- /dev/null
+++ b/Tests/platform/soak/soak.cc
@@ -0,0 +1,504 @@
+// Injects the faults and runs the checks.
+
+#include "Tests/platform/soak/soak.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/time/clock.h"
+#include "boost/beast/core.hpp"
+#include "boost/beast/http.hpp"
+
+namespace heatherwick::platform {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kDatabaseCount = 3;
+constexpr size_t kCallersPerKind = 4;
+// An instance that can reach the store again serves well within this time.
+constexpr absl::Duration kRecoveryTimeout = absl::Seconds(20);
+constexpr absl::Duration kReplicaLag = absl::Milliseconds(30);
+// Bounds of the random pause between two faults and of the random duration of
+// a fault.
+constexpr uint32_t kMaxPauseBetweenFaultsMs = 900;
+constexpr uint32_t kMaxFaultDurationMs = 4000;
+// With late orders all instances are killed at the same moment, after a random
+// time between these bounds.
+constexpr uint32_t kMinTimeToKillAllMs = 4000;
+constexpr uint32_t kMaxTimeToKillAllMs = 14000;
+
+// Kinds of the faults of an instance.
+enum InstanceFault : uint32_t { kKill, kTerminate, kPause, kHangUp };
+
+bool IsReady(uint16_t port) {
+  namespace http = boost::beast::http;
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  error_code error;
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+  http::request<http::empty_body> request(http::verb::get, "/heatherwick/ready",
+                                          11);
+  if (!error) {
+    http::write(socket, request, error);
+  }
+  boost::beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  if (!error) {
+    http::read(socket, buffer, response, error);
+  }
+  return !error && response.result_int() == 200;
+}
+
+absl::Duration TimeToKillAll(std::mt19937* random) {
+  return absl::Milliseconds(kMinTimeToKillAllMs +
+                            (*random)() %
+                                (kMaxTimeToKillAllMs - kMinTimeToKillAllMs));
+}
+
+std::string GroupNameAt(int index) {
+  return absl::StrCat("s", index);
+}
+
+std::string Configuration(int version, int groups) {
+  std::vector<std::string> routes;
+  std::vector<std::string> services;
+  const auto add_route = [&](CallerKind kind, const char* type,
+                             absl::Duration max_staleness,
+                             const std::string& group) {
+    const std::string host = DatabaseName(kind, group);
+    routes.push_back(absl::StrCat(
+        R"({"name":")", host, R"(","host":")", host, R"(","type":")", type,
+        R"(","maxStalenessMs":)", absl::ToInt64Milliseconds(max_staleness),
+        R"(,"timeoutMs":1500,"targetLatencyMs":200,)",
+        R"("priority":1,"service":")", group, R"("})"));
+  };
+  for (int index = 0; index < groups; ++index) {
+    const std::string group = GroupNameAt(index);
+    add_route(CallerKind::kOrders, "primary", absl::ZeroDuration(), group);
+    add_route(CallerKind::kStock, "read_your_writes", kStockMaxStaleness,
+              group);
+    add_route(CallerKind::kViews, "bounded_staleness", kViewsMaxStaleness,
+              group);
+    services.push_back(
+        absl::StrCat(R"({"name":")", group, R"(","maxConnections":60})"));
+  }
+  return absl::StrCat(R"({"version":)", version, R"(,"routes":[)",
+                      absl::StrJoin(routes, ","), R"(],"services":[)",
+                      absl::StrJoin(services, ","),
+                      R"(],"limits":{"txIdleMs":3000}})");
+}
+
+}  // namespace
+
+Soak::Soak(const SoakOptions& options)
+    : m_options(options),
+      m_random(static_cast<uint32_t>(options.seed)),
+      m_planner(static_cast<uint32_t>(options.seed), options.orders_late) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "heatherwick-soak-XXXXXX");
+  m_directory = mkdtemp(pattern.data());
+  for (int index = 0; index < options.groups; ++index) {
+    AddGroup(GroupNameAt(index));
+  }
+  m_store->on_promote = [this](const FakePromotionOrder& order) {
+    return TakeOrder(order);
+  };
+  m_store->Put("op", "config",
+               Configuration(m_configuration_version, options.groups));
+  // Earlier versions drew the ports from the seed, too; its faults stay the
+  // same.
+  m_random.discard(static_cast<uint64_t>(options.instances));
+  std::vector<uint16_t> ports;
+  for (int index = 0; index < options.instances; ++index) {
+    m_store_links.push_back(new FaultProxy(m_store->Address()));
+    InstanceSettings settings;
+    settings.program = options.program;
+    settings.directory = m_directory;
+    settings.name = absl::StrCat("i", index);
+    settings.store = m_store_links.back()->Address();
+    settings.promotions = settings.store;
+    m_ports.push_back(std::make_unique<PortBlock>());
+    settings.first_port = m_ports.back()->FirstPort();
+    ports.push_back(settings.first_port);
+    m_instances.push_back(std::make_unique<InstanceProcess>(settings));
+    m_down_until.push_back(absl::InfinitePast());
+  }
+  RestartExitedInstances();
+  size_t item_count = 0;
+  for (const FakeDatabaseGroup* group : m_groups) {
+    std::vector<std::string> items;
+    for (const CallerKind kind :
+         {CallerKind::kOrders, CallerKind::kStock, CallerKind::kViews}) {
+      for (size_t index = 0; index < kCallersPerKind; ++index) {
+        const std::string item = absl::StrCat("k", item_count++);
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            kind, group->Name(), item, items, ports, m_random(), &m_history));
+        items.push_back(item);
+      }
+    }
+  }
+}
+
+void Soak::AddGroup(const std::string& name) {
+  m_groups.push_back(new FakeDatabaseGroup(
+      name, kDatabaseCount, m_store, {kReplicaLag, absl::ZeroDuration()},
+      [this](const std::string& address) {
+        FaultProxy*& link = m_database_links[address];
+        if (link == nullptr) {
+          link = new FaultProxy(address);
+        }
+        return link->Address();
+      }));
+}
+
+std::vector<FakeCommit> Soak::Commits() {
+  std::vector<FakeCommit> all;
+  for (FakeDatabaseGroup* group : m_groups) {
+    for (FakeCommit& commit : group->Commits()) {
+      all.push_back(std::move(commit));
+    }
+  }
+  return all;
+}
+
+void Soak::PrintEvent(const std::string& event) {
+  std::cout << absl::StrCat(absl::ToInt64Milliseconds(SteadyNow() - m_start),
+                            " ms ", event, "\n")
+            << std::flush;
+}
+
+unsigned Soak::TakeOrder(const FakePromotionOrder& order) {
+  m_history.AddPromotion({order.holder, order.fencing_token});
+  const OrderPlan plan = m_planner.Plan();
+  unsigned status = 409;
+  for (FakeDatabaseGroup* group : m_groups) {
+    if (group->Name() == order.service) {
+      status = group->Promote(order.id, plan.effect_delay);
+      size_t holder = 0;
+      while (holder < m_instances.size() &&
+             m_instances[holder]->Name() != order.holder) {
+        ++holder;
+      }
+      m_last_holder = holder % m_instances.size();
+      absl::MutexLock lock(&m_orders_mutex);
+      for (const OrderFault& fault : plan.faults) {
+        m_order_faults.push_back(
+            {SteadyNow() + fault.start, fault, group, order.id, m_last_holder});
+      }
+    }
+  }
+  PrintEvent(
+      absl::StrCat(order.holder, " orders ", order.id,
+                   " token=", order.fencing_token, " status=", status,
+                   " effect_ms=", absl::ToInt64Milliseconds(plan.effect_delay),
+                   " answer_ms=", absl::ToInt64Milliseconds(plan.answer_delay),
+                   plan.answer_lost ? " answer lost" : ""));
+  absl::SleepFor(plan.answer_delay);
+  return plan.answer_lost ? 0 : status;
+}
+
+void Soak::InjectOrderFaults() {
+  std::vector<ScheduledOrderFault> due;
+  {
+    absl::MutexLock lock(&m_orders_mutex);
+    const auto first_due =
+        std::partition(m_order_faults.begin(), m_order_faults.end(),
+                       [](const ScheduledOrderFault& fault) {
+                         return fault.at > SteadyNow();
+                       });
+    due.assign(first_due, m_order_faults.end());
+    m_order_faults.erase(first_due, m_order_faults.end());
+  }
+  for (const ScheduledOrderFault& scheduled : due) {
+    InjectOrderFault(scheduled);
+  }
+}
+
+void Soak::InjectOrderFault(const ScheduledOrderFault& scheduled) {
+  const OrderFault& fault = scheduled.fault;
+  const absl::Time end = SteadyNow() + fault.duration;
+  InstanceProcess* const holder = m_instances[scheduled.holder].get();
+  switch (fault.kind) {
+    case OrderFaultKind::kKillHolder:
+      KillInstances(scheduled.holder, 1, fault.duration);
+      break;
+    case OrderFaultKind::kTerminateHolder:
+      InjectInstanceFault(holder, kTerminate, end);
+      break;
+    case OrderFaultKind::kPauseHolder:
+      InjectInstanceFault(holder, kPause, end);
+      break;
+    case OrderFaultKind::kKillAllInstances:
+      KillInstances(0, m_instances.size(), fault.duration);
+      break;
+    case OrderFaultKind::kCrashTarget:
+      CrashDatabase(scheduled.group, scheduled.id, end);
+      break;
+  }
+}
+
+void Soak::KillInstances(size_t first, size_t count, absl::Duration down) {
+  PrintEvent(absl::StrCat("kill ", count, " instances from ",
+                          m_instances[first]->Name(), " for ",
+                          absl::ToInt64Milliseconds(down), " ms"));
+  for (size_t index = first; index < first + count; ++index) {
+    m_instances[index]->Signal(SIGKILL);
+    m_down_until[index] = SteadyNow() + down;
+  }
+  for (size_t index = first; index < first + count; ++index) {
+    m_instances[index]->Kill();
+  }
+}
+
+absl::Time Soak::RandomEnd() {
+  return SteadyNow() + absl::Milliseconds(RandomBelow(kMaxFaultDurationMs));
+}
+
+void Soak::InjectInstanceFault(InstanceProcess* instance,
+                               uint32_t kind,
+                               absl::Time end) {
+  switch (kind) {
+    case kKill:
+      PrintEvent(absl::StrCat("kill ", instance->Name()));
+      instance->Kill();
+      break;
+    case kTerminate:
+      PrintEvent(absl::StrCat("terminate ", instance->Name()));
+      instance->Signal(SIGTERM);
+      break;
+    case kPause:
+      PrintEvent(absl::StrCat("pause ", instance->Name()));
+      instance->Signal(SIGSTOP);
+      m_scheduled_ends.push_back(
+          {end, [instance]() { instance->Signal(SIGCONT); }});
+      break;
+    default:
+      PrintEvent(absl::StrCat("hang up ", instance->Name()));
+      instance->Signal(SIGHUP);
+      break;
+  }
+}
+
+std::string Soak::DatabaseToCrash(FakeDatabaseGroup* group) {
+  const std::string primary = group->Primary();
+  const std::string any = group->Names()[RandomBelow(kDatabaseCount)];
+  return RandomBelow(2) == 0 ? primary : any;
+}
+
+void Soak::CrashDatabase(FakeDatabaseGroup* group,
+                         const std::string& id,
+                         absl::Time end) {
+  PrintEvent(absl::StrCat("crash ", id));
+  group->Crash(id);
+  m_scheduled_ends.push_back({end, [group, id]() { group->Restart(id); }});
+}
+
+void Soak::DrainDatabase(FakeDatabaseGroup* group, absl::Time end) {
+  const std::string id = group->Primary();
+  PrintEvent(absl::StrCat("drain ", id));
+  group->SetDraining(id, true);
+  m_scheduled_ends.push_back(
+      {end, [group, id]() { group->SetDraining(id, false); }});
+}
+
+void Soak::InjectFault() {
+  static constexpr LinkFault kFaults[] = {
+      LinkFault::kDelayed, LinkFault::kSilent, LinkFault::kAnswersLost};
+  static constexpr const char* kFaultNames[] = {"delayed", "silent",
+                                                "answers lost"};
+  const absl::Time end = RandomEnd();
+  const uint32_t fault = RandomBelow(3);
+  const auto disturb_link = [&](FaultProxy* link, const std::string& name) {
+    PrintEvent(absl::StrCat("link to ", name, " ", kFaultNames[fault]));
+    link->SetFault(kFaults[fault]);
+    m_scheduled_ends.push_back(
+        {end, [link]() { link->SetFault(LinkFault::kNone); }});
+  };
+  const size_t instance_index = RandomBelow(m_instances.size());
+  FakeDatabaseGroup* const group = m_groups[RandomBelow(m_groups.size())];
+  const uint32_t extra = m_options.restart_often ? RandomBelow(10) : 10;
+  // With late orders more of the faults are such that a change follows.
+  if (extra < (m_options.orders_late ? 2 : 4)) {
+    // Often the instance that carries out a change.
+    const size_t holder = m_last_holder;
+    const size_t index = RandomBelow(2) == 0 ? holder : instance_index;
+    const uint32_t kind = RandomBelow(5);
+    InjectInstanceFault(m_instances[index].get(), kind <= kPause ? kind : kKill,
+                        RandomEnd());
+    return;
+  }
+  if (extra < 8) {
+    if (RandomBelow(2) == 0) {
+      CrashDatabase(group, DatabaseToCrash(group), end);
+    } else {
+      DrainDatabase(group, end);
+    }
+    return;
+  }
+  switch (RandomBelow(m_options.groups > 1 ? 11 : 9)) {
+    case 9:
+      DrainDatabase(group, end);
+      break;
+    case 10:
+      CrashDatabase(group, DatabaseToCrash(group), end);
+      break;
+    case 0:
+    case 1:
+    case 2: {
+      const uint32_t kind = RandomBelow(kHangUp + 1);
+      InjectInstanceFault(m_instances[instance_index].get(), kind, RandomEnd());
+      break;
+    }
+    case 3:
+      disturb_link(m_store_links[instance_index],
+                   absl::StrCat("the store of i", instance_index));
+      break;
+    case 4: {
+      const auto link = std::next(m_database_links.begin(),
+                                  RandomBelow(m_database_links.size()));
+      disturb_link(link->second, "the database at " + link->first);
+      break;
+    }
+    case 5: {
+      const auto link = std::next(m_database_links.begin(),
+                                  RandomBelow(m_database_links.size()));
+      PrintEvent("reset the connections to the database at " + link->first);
+      link->second->Reset();
+      break;
+    }
+    case 6:
+      CrashDatabase(group, DatabaseToCrash(group), end);
+      break;
+    case 7:
+      PrintEvent("the store loses answers");
+      m_store->LoseAnswers(2 + RandomBelow(4));
+      m_scheduled_ends.push_back({end, [this]() { m_store->LoseAnswers(0); }});
+      break;
+    default:
+      if (RandomBelow(2) == 0) {
+        PrintEvent("the store refuses all calls");
+        m_store->SetBusy(true);
+        m_scheduled_ends.push_back(
+            {end, [this]() { m_store->SetBusy(false); }});
+      } else {
+        PrintEvent("change the configuration");
+        m_store->Put(
+            "op", "config",
+            Configuration(++m_configuration_version, m_options.groups));
+      }
+      break;
+  }
+}
+
+void Soak::EndFaults(absl::Time until) {
+  for (size_t index = 0; index < m_scheduled_ends.size();) {
+    if (m_scheduled_ends[index].at <= until) {
+      m_scheduled_ends[index].action();
+      m_scheduled_ends.erase(m_scheduled_ends.begin() +
+                             static_cast<ptrdiff_t>(index));
+    } else {
+      ++index;
+    }
+  }
+}
+
+void Soak::RestartExitedInstances() {
+  for (size_t index = 0; index < m_instances.size(); ++index) {
+    const auto& instance = m_instances[index];
+    bool unexpected = false;
+    if (instance->Reap(&unexpected)) {
+      if (unexpected) {
+        m_violations.push_back(instance->Name() + " exited unexpectedly");
+      }
+      if (m_down_until[index] <= SteadyNow()) {
+        m_ports[index]->RequireUnused();
+        instance->Start();
+      }
+    }
+  }
+}
+
+bool Soak::WaitForRecovery() {
+  std::vector<uint64_t> before;
+  for (const auto& caller : m_callers) {
+    before.push_back(caller->AcknowledgedWrites());
+  }
+  const absl::Time end = SteadyNow() + kRecoveryTimeout;
+  while (SteadyNow() < end) {
+    RestartExitedInstances();
+    bool recovered = true;
+    for (const auto& instance : m_instances) {
+      recovered &= IsReady(instance->ReadyPort());
+    }
+    for (size_t index = 0; index < m_callers.size(); ++index) {
+      recovered &= m_callers[index]->Kind() == CallerKind::kViews ||
+                   m_callers[index]->AcknowledgedWrites() > before[index];
+    }
+    if (recovered) {
+      return true;
+    }
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+  return false;
+}
+
+void Soak::EndProcesses() {
+  for (const auto& caller : m_callers) {
+    caller->Stop();
+  }
+  m_callers.clear();
+  m_instances.clear();
+}
+
+std::vector<std::string> Soak::Run() {
+  if (!WaitForRecovery()) {
+    return {"the instances did not start to serve"};
+  }
+  const absl::Time end = SteadyNow() + absl::Seconds(m_options.seconds);
+  absl::Time next_fault = SteadyNow();
+  std::mt19937 kill_all_random(static_cast<uint32_t>(m_options.seed));
+  absl::Time next_kill_all = m_options.orders_late
+                                 ? SteadyNow() + TimeToKillAll(&kill_all_random)
+                                 : absl::InfiniteFuture();
+  while (SteadyNow() < end) {
+    if (SteadyNow() >= next_fault) {
+      InjectFault();
+      next_fault =
+          SteadyNow() + absl::Milliseconds(RandomBelow(
+                            m_options.restart_often && !m_options.orders_late
+                                ? kMaxPauseBetweenFaultsMs / 2
+                                : kMaxPauseBetweenFaultsMs));
+    }
+    if (SteadyNow() >= next_kill_all) {
+      KillInstances(0, m_instances.size(), absl::ZeroDuration());
+      next_kill_all = SteadyNow() + TimeToKillAll(&kill_all_random);
+    }
+    InjectOrderFaults();
+    EndFaults(SteadyNow());
+    RestartExitedInstances();
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  EndFaults(absl::InfiniteFuture());
+  std::fill(m_down_until.begin(), m_down_until.end(), absl::InfinitePast());
+  PrintEvent("all faults are over");
+  if (!WaitForRecovery()) {
+    m_violations.push_back("not all callers were served again in time");
+  }
+  EndProcesses();
+  for (std::string& violation : m_history.Check(Commits())) {
+    m_violations.push_back(std::move(violation));
+  }
+  PrintEvent(m_history.Summary(Commits()));
+  return m_violations;
+}
+
+}  // namespace heatherwick::platform
