tests: Start all instances again in the middle of a change

Cause: disks may be lost with all machines at once. What an ended holder had ordered may then take effect only when other instances run, and nobody is left who remembers more than the rows. Ruled out: that a holder which never returns, a promotion lock held by it or an order whose effect comes after the power is back leads to an acknowledgement at a replaced primary, or to more than 18 s without a primary. Change: a test in virtual time that ends all instances before a change, after its announcement, after the record of the order, after the order and after the publication. All return, or all but the holder, or one; targets go on, restart, or restart without the ordered one; orders are lost or take effect up to 2.99 s after they were sent.

--- a/Tests/gateway/promotion_order_test.cc
+++ b/Tests/gateway/promotion_order_test.cc
@@ -3,10 +3,12 @@
 // something else. LeadershipCluster checks that no instance acknowledges writes
 // of a primary that has been replaced.
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <random>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "Tests/gateway/leadership_cluster.h"
@@ -227,6 +229,162 @@
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
 }
 
+// All machines lose power at one moment, and the rows stay in the store. What
+// an ended holder ordered may take effect only when the power is back.
+class PowerLossFixture : public PromotionOrderFixture {
+ protected:
+  // How far the change has got when the power fails.
+  enum class Moment { kNoChange, kAnnounced, kRecorded, kSent, kPublished };
+  enum class Returning { kAll, kAllButHolder, kOne };
+  enum class Targets { kKeepRunning, kRestart, kRestartWithoutCandidate };
+
+  static constexpr size_t kInstances = 4;
+
+  bool RowContains(const std::string& text) const {
+    const auto row =
+        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
+    return row != m_cluster->m_table.rows.end() &&
+           row->second.value.find(text) != std::string::npos;
+  }
+  bool Reached(Moment moment) const {
+    switch (moment) {
+      case Moment::kNoChange:
+        return true;
+      case Moment::kAnnounced:
+        return RowContains("\"open\":false");
+      case Moment::kRecorded:
+        return RowContains("\"orders\":1");
+      case Moment::kSent:
+        return !m_cluster->promoted.empty();
+      case Moment::kPublished:
+        return RowContains("\"primary\":\"g0-db1\"");
+    }
+    return false;
+  }
+
+  void RunUntilReached(Moment moment) {
+    for (int step = 0; step < 10000 && !Reached(moment); ++step) {
+      for (size_t index = 0; index < kInstances; ++index) {
+        Instance& instance = m_cluster->At(index);
+        instance.ReportUnresponsivePrimaries();
+        // The holder does not learn that its order is recorded.
+        if (moment == Moment::kRecorded && RowContains("\"open\":false")) {
+          instance.store.SetCommitAnswerDelay(absl::Milliseconds(30));
+          instance.store.SetPollDelay(absl::Milliseconds(100));
+        }
+      }
+      m_cluster->m_loop.RunFor(absl::Milliseconds(1));
+    }
+    REQUIRE(Reached(moment));
+  }
+
+  void LosePower(absl::Duration outage, Returning returning, Targets targets) {
+    const InstanceId holder =
+        m_cluster->At(0).Manager().View().Leader("g0").holder;
+    for (size_t index = 0; index < kInstances; ++index) {
+      m_cluster->Kill(absl::StrCat("i", index));
+    }
+    if (targets != Targets::kKeepRunning) {
+      for (auto& [id, database] : m_cluster->m_databases) {
+        database.alive = false;
+      }
+    }
+    m_cluster->RunFor(outage);
+    for (auto& [id, database] : m_cluster->m_databases) {
+      const bool returns =
+          targets == Targets::kRestart ||
+          (targets == Targets::kRestartWithoutCandidate && id != "g0-db1");
+      if (returns) {
+        database.alive = true;
+        ++database.started_unix_ms;
+      }
+    }
+    for (size_t index = 0; index < kInstances; ++index) {
+      const std::string name = absl::StrCat("i", index);
+      const bool returns =
+          returning == Returning::kAll ||
+          (returning == Returning::kOne ? index == 0 : name != holder);
+      if (returns) {
+        m_cluster->AddInstance(name);
+      }
+    }
+  }
+
+  // Returns the time until all instances use the same primary.
+  absl::Duration TimeUntilUsed() {
+    const absl::Time start = m_cluster->m_loop.Now();
+    while (m_cluster->m_loop.Now() < start + kLimit) {
+      m_cluster->RunFor(absl::Milliseconds(50));
+      for (const auto& [id, database] : m_cluster->m_databases) {
+        if (database.alive && m_cluster->AllUse("g0", id)) {
+          return m_cluster->m_loop.Now() - start;
+        }
+      }
+    }
+    return absl::InfiniteDuration();
+  }
+
+  // A change is to be over within 18 s.
+  static constexpr absl::Duration kLimit = absl::Seconds(18);
+
+ private:
+  using Instance = LeadershipCluster::Instance;
+};
+
+TEST_CASE_FIXTURE(PowerLossFixture,
+                  "PromotionOrder_AllInstancesStartAgain_OnePrimaryInTime") {
+  absl::Duration longest;
+  int cases = 0;
+  for (const Moment moment :
+       {Moment::kNoChange, Moment::kAnnounced, Moment::kRecorded, Moment::kSent,
+        Moment::kPublished}) {
+    for (const Returning returning :
+         {Returning::kAll, Returning::kAllButHolder, Returning::kOne}) {
+      for (const Targets targets : {Targets::kKeepRunning, Targets::kRestart,
+                                    Targets::kRestartWithoutCandidate}) {
+        for (const int outage_ms : {10, 1500, 6000}) {
+          for (const int effect_ms : {5, 900, 2990, -1}) {
+            CAPTURE(static_cast<int>(moment));
+            CAPTURE(static_cast<int>(returning));
+            CAPTURE(static_cast<int>(targets));
+            CAPTURE(outage_ms);
+            CAPTURE(effect_ms);
+            const bool has_orders =
+                moment == Moment::kSent || moment == Moment::kPublished;
+            if ((!has_orders && effect_ms != 5) ||
+                (moment == Moment::kPublished && effect_ms < 0)) {
+              continue;
+            }
+            Start(kInstances);
+            int orders = 0;
+            m_cluster->order_fate = [&orders, effect_ms](const TargetId&) {
+              ++orders;
+              const bool lost = orders == 1 && effect_ms < 0;
+              return OrderFate{
+                  lost ? absl::InfiniteDuration()
+                       : absl::Milliseconds(orders == 1 ? effect_ms : 1000),
+                  !lost};
+            };
+            if (moment != Moment::kNoChange) {
+              m_cluster->m_databases["g0-db0"].alive = false;
+            }
+            RunUntilReached(moment);
+            LosePower(absl::Milliseconds(outage_ms), returning, targets);
+            const absl::Duration used_after = TimeUntilUsed();
+            CHECK(used_after <= kLimit);
+            longest = std::max(longest, used_after);
+            ++cases;
+            m_cluster->RunFor(absl::Seconds(5));  // Nothing is left to happen.
+            CHECK(m_cluster->wrong_acknowledgements == 0);
+          }
+        }
+      }
+    }
+  }
+  MESSAGE("cases: ", cases, ", longest ms without a primary: ",
+          absl::ToInt64Milliseconds(longest));
+}
+
 // Orders take effect at random times, or never, whether they are answered or
 // not; holders end between an order and its effect, and targets answer some
 // instances only.
