tests: Read recorded orders as written, damaged and renewed

Cause: whether an order may be contradicted rests on what a view keeps of the leader row, which only tests of the manager covered. Ruled out: orders that change on the way through a row; rows without the fields that hide an order in mid-change; a field of a wrong type or out of range that costs more than its row; a wait counted from a later row, or not renewed by a repeated order; the record of an order that renews the wait for leases. Change: five tests of PendingOrders in leadership_view_test.cc.

--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -3,6 +3,11 @@
 
 #include "Source/gateway/leadership_view.h"
 
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
 
@@ -188,5 +193,145 @@
   CHECK(m_view.Unconfirmed("g", 10).size() == 1);
 }
 
+class PendingOrdersFixture : public ViewFixture {
+ protected:
+  static GroupLeader Changing(uint64_t epoch, uint64_t recorded_after) {
+    GroupLeader leader;
+    leader.epoch = epoch;
+    leader.phase = LeaderPhase::kChanging;
+    leader.primary = "db1";
+    leader.holder = "x";
+    leader.orders = {"db2", 1, 4, recorded_after};
+    return leader;
+  }
+  void Read(const GroupLeader& leader) {
+    ReadText(LeadershipView::EncodeLeader(leader));
+  }
+  void ReadText(const std::string& value) {
+    m_view.Apply(
+        Rows({{LeadershipView::LeaderKey("g"), value, ++m_version, false}}),
+        m_now);
+  }
+  // A row as versions before PendingOrders wrote it.
+  void ReadEarlierVersion(uint64_t epoch, bool open) {
+    ReadText(absl::StrCat(R"({"epoch":)", epoch, R"(,"open":)",
+                          open ? "true" : "false",
+                          R"(,"primary":"db1","term":1,"holder":"x",)",
+                          R"("incarnation":3,"planned":false})"));
+  }
+
+  uint64_t m_version = 10;
+};
+
+// An order that is lost on the way through the store could be contradicted.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_PendingOrders_AreReadAsWritten") {
+  for (const LeaderPhase phase : {LeaderPhase::kChanging, LeaderPhase::kOpen}) {
+    GroupLeader leader = Changing(m_version, 9);
+    leader.phase = phase;
+    leader.orders = {"db2", 3, 7, m_version};
+    Read(leader);
+    const GroupLeader& read = m_view.Leader("g");
+    CHECK(read.phase == phase);
+    CHECK(read.orders.target == "db2");
+    CHECK(read.orders.count == 3);
+    CHECK(read.orders.term_before == 7);
+    CHECK(read.orders.recorded_after == m_version - 1);
+    CHECK(read.orders_seen == m_now);
+  }
+}
+
+// A holder of an earlier version does not show its order, which has to be
+// awaited. An open row of that version has none to show.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_RowsWithoutOrders_CountOneOrderPerChange") {
+  ReadEarlierVersion(1, true);
+  CHECK(m_view.Leader("g").orders.count == 0);
+  m_now += absl::Seconds(1);
+  ReadEarlierVersion(2, false);
+  CHECK(m_view.Leader("g").orders.count == 1);
+  CHECK(m_view.Leader("g").orders.target.empty());
+  CHECK(m_view.Leader("g").orders.recorded_after == 0);
+  CHECK(m_view.Leader("g").orders_seen == m_now);
+  m_now += absl::Seconds(1);
+  ReadEarlierVersion(3, false);
+  CHECK(m_view.Leader("g").orders.count == 1);
+  CHECK(m_view.Leader("g").orders_seen == m_now);
+}
+
+// Forgetting a change because of one malformed field could end the wait for an
+// order in flight.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_MalformedOrders_KeepLastValidRow") {
+  Read(Changing(5, 9));
+  const absl::Time seen = m_now;
+  for (const char* const field :
+       {"orders", "ordered", "ordered_after", "recorded_after"}) {
+    for (const char* const value :
+         {"-1", "1e300", "5.0", "18446744073709551615", "true", "null", "[]",
+          "{}", "\"a\\r\\nb\""}) {
+      CAPTURE(field);
+      CAPTURE(value);
+      m_now += absl::Milliseconds(1);
+      std::string row = LeadershipView::EncodeLeader(Changing(6, 11));
+      const std::string key = absl::StrCat("\"", field, "\":");
+      const size_t start = row.find(key) + key.size();
+      row.replace(start, row.find_first_of(",}", start) - start, value);
+      m_view.Apply(Rows({{"leader/g", row, ++m_version, false}, OwnRow(7)}),
+                   m_now);
+      CHECK(m_view.Leader("g").epoch == 5);
+      CHECK(m_view.Leader("g").orders.target == "db2");
+      CHECK(m_view.Leader("g").orders.count == 1);
+      CHECK(m_view.Leader("g").orders.recorded_after == 9);
+      CHECK(m_view.Leader("g").orders_seen == seen);
+      CHECK(m_view.LeaseValid(m_now));
+    }
+  }
+}
+
+// The end of an order counts from its record. Counting from each later row
+// would prolong the wait; counting a new order from an earlier one would end it
+// too soon.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_OrdersSeen_IsRenewedByEachOrder") {
+  Read(Changing(5, 9));
+  const absl::Time first = m_now;
+  m_now += absl::Seconds(1);
+  Read(Changing(6, 9));  // Another holder takes the change over.
+  CHECK(m_view.Leader("g").orders_seen == first);
+  m_now += absl::Seconds(1);
+  Read(Changing(6, 12));  // It repeats the order.
+  const absl::Time second = m_now;
+  CHECK(m_view.Leader("g").orders_seen == second);
+  m_now += absl::Seconds(1);
+  GroupLeader open = Changing(7, 12);
+  open.phase = LeaderPhase::kOpen;
+  open.primary = "db2";
+  Read(open);
+  CHECK(m_view.Leader("g").orders_seen == second);
+  m_now += absl::Seconds(1);
+  Read(Changing(10, 20));  // Epochs 8 and 9 were missed.
+  CHECK(m_view.Leader("g").orders_seen == m_now);
+}
+
+// The wait for the leases of unresponsive members counts from the first sight
+// of the change, which the record of an order does not repeat.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_OrderRecorded_KeepsChangeSeen") {
+  ReadEarlierVersion(4, true);
+  m_now += absl::Seconds(1);
+  GroupLeader announced = Changing(5, 0);
+  announced.orders = {};
+  Read(announced);
+  const absl::Time change_seen = m_now;
+  const absl::Time usable_until = m_view.Leader("g").usable_until;
+  m_now += absl::Seconds(1);
+  Read(Changing(5, 12));
+  CHECK(m_view.Leader("g").change_seen == change_seen);
+  CHECK(m_view.Leader("g").usable_until == usable_until);
+  CHECK(m_view.Leader("g").change_epoch == 5);
+  CHECK(m_view.Leader("g").orders_seen == m_now);
+}
+
 }  // namespace
 }  // namespace heatherwick
