gateway: Await unrecorded orders from the row that was read

Found with tests of the view; it needs an upgrade and two failures at once. Cause: orders of an earlier version have no record. Whoever takes such a change over passes one order on with recorded_after 0, which is also what a row without orders has. An instance that had missed the earlier version's row took the order for one it knew, counted its end from a row of any age, and could order another target at once. Ruled out: orders of this version, which are told apart by recorded_after. Change: orders without a record are taken for known only if no epoch was missed. Conclusion: a change is never thought to have no order in flight because its rows were missed.

--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -227,8 +227,12 @@
   }
   next.row_version = row.version;
   next.seen = now;
+  const bool missed_epoch = next.epoch > known.epoch + 1;
+  // An order of an earlier version has no record by which it is recognised. It
+  // may belong to an epoch that was missed.
+  const bool recognised = next.orders.recorded_after > 0 || !missed_epoch;
   const bool same_orders =
-      orders_shown && known.phase != LeaderPhase::kUnknown &&
+      orders_shown && known.phase != LeaderPhase::kUnknown && recognised &&
       known.orders.recorded_after == next.orders.recorded_after;
   next.orders_seen = same_orders ? known.orders_seen : now;
   if (next.phase == LeaderPhase::kChanging) {
@@ -237,7 +241,6 @@
     next.usable_until = again ? known.usable_until : m_as_of + kLeaderLease;
     // If an epoch was missed, a primary may have been open in it, which others
     // use until their leases expire.
-    const bool missed_epoch = next.epoch > known.epoch + 1;
     next.change_seen = again && !missed_epoch ? known.change_seen : now;
   }
   m_leaders[group] = next;
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -333,5 +333,27 @@
   CHECK(m_view.Leader("g").orders_seen == m_now);
 }
 
+// An instance of this version takes over a change that an earlier version began
+// and passes its order on without the version of a record. Whoever has not read
+// the earlier version's row has not seen that order before.
+TEST_CASE_FIXTURE(PendingOrdersFixture,
+                  "LeadershipView_UnrecordedOrderOfMissedEpoch_IsSeenNow") {
+  for (const bool known_open : {true, false}) {
+    CAPTURE(known_open);
+    const uint64_t known_epoch = known_open ? 1 : 11;
+    ReadEarlierVersion(known_epoch, known_open);
+    m_now += absl::Minutes(1);
+    GroupLeader taken_over = Changing(known_epoch + 2, 0);
+    taken_over.orders = {"", 1, 0, 0};
+    Read(taken_over);
+    CHECK(m_view.Leader("g").orders_seen == m_now);
+    const absl::Time seen = m_now;
+    m_now += absl::Seconds(1);
+    ++taken_over.epoch;  // Another instance takes over at once.
+    Read(taken_over);
+    CHECK(m_view.Leader("g").orders_seen == seen);
+  }
+}
+
 }  // namespace
 }  // namespace heatherwick
