tests: Fail stores, targets and all machines at random in changes

Cause: the random effects of orders were played with stores and platforms that always answer in time. Change: PromotionOrder_RandomFaults draws lost and late store answers, poll delays, isolated instances, draining targets, refused orders, syncReplicas 0 or 1 and the loss of all machines.

--- a/Tests/gateway/promotion_order_test.cc
+++ b/Tests/gateway/promotion_order_test.cc
@@ -310,6 +310,22 @@
     }
   }
 
+  void RepairAll() {
+    for (auto& [id, database] : m_cluster->m_databases) {
+      database.started_unix_ms += database.alive ? 0 : 1;
+      database.alive = true;
+      database.draining = false;
+    }
+    SetUnreachable({});
+    for (size_t index = 0; index < kInstances; ++index) {
+      Instance& instance = m_cluster->At(index);
+      instance.isolated = false;
+      instance.store.SetDown(false);
+      instance.store.SetPollDelay(absl::ZeroDuration());
+      instance.store.SetCommitAnswerDelay(absl::ZeroDuration());
+    }
+  }
+
   // Returns the time until all instances use the same primary.
   absl::Duration TimeUntilUsed() {
     const absl::Time start = m_cluster->m_loop.Now();
@@ -454,5 +470,123 @@
           seeds.last - seeds.first + 1);
 }
 
+// Faults of the store, draining targets, refused orders and the loss of all
+// machines, beside those of PromotionOrder_RandomEffects_KeepsOnePrimary.
+TEST_CASE_FIXTURE(PowerLossFixture,
+                  "PromotionOrder_RandomFaults_KeepsOnePrimary") {
+  constexpr uint32_t kSteps = 90;
+  const SeedRange seeds = SeedsFromEnvironment();
+  size_t violated_seeds = 0;
+  size_t orders = 0;
+  absl::Duration longest;
+  for (uint32_t seed = seeds.first; seed <= seeds.last; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto below = [&random](uint32_t limit) { return random() % limit; };
+    Start(kInstances);
+    m_cluster->sync_replicas = below(2);
+    m_cluster->order_fate = [&below](const TargetId&) {
+      const uint32_t kind = below(10);
+      const uint32_t effect_ms = 10 + below(2900);
+      const uint32_t answer = below(3);
+      OrderFate fate;
+      fate.refused = kind == 0;
+      fate.answered = answer != 0 && kind != 1;
+      fate.effect_after =
+          kind == 1 ? absl::InfiniteDuration() : absl::Milliseconds(effect_ms);
+      return fate;
+    };
+    for (uint32_t step = 0; step < kSteps; ++step) {
+      const TargetId target = absl::StrCat("g0-db", below(3));
+      const uint32_t index = below(kInstances);
+      const uint32_t delay_ms = below(1500);
+      const uint32_t pause_ms = below(900);
+      const bool long_pause = below(4) == 0;
+      const uint32_t event = below(20);
+      LeadershipCluster::Instance& instance = m_cluster->At(index);
+      const GroupLeader leader = instance.Manager().View().Leader("g0");
+      LeadershipCluster::Instance* const holder =
+          m_cluster->Find(leader.holder);
+      FakeDatabase& database = m_cluster->m_databases[target];
+      switch (event) {
+        case 0:
+        case 1:
+        case 2:
+          // Mostly with an order in flight.
+          if (holder != nullptr && leader.phase == LeaderPhase::kChanging &&
+              (leader.orders.count > 0 || delay_ms < 200)) {
+            m_cluster->AddInstance(leader.holder);
+          }
+          break;
+        case 3:
+        case 4:
+          database.started_unix_ms += database.alive ? 0 : 1;
+          database.alive ^= true;
+          break;
+        case 5:
+          SetUnreachable({target});
+          break;
+        case 6:
+          instance.unreachable = {target};
+          break;
+        case 7:
+          SetUnreachable({});
+          break;
+        case 8:
+          database.draining ^= true;
+          break;
+        case 9:
+        case 10:
+          if (holder != nullptr) {
+            holder->store.LoseNextAnswer(absl::Milliseconds(delay_ms));
+          }
+          break;
+        case 11:
+          instance.store.SetPollDelay(absl::Milliseconds(delay_ms / 2));
+          break;
+        case 12:
+          instance.store.SetCommitAnswerDelay(absl::Milliseconds(delay_ms / 2));
+          break;
+        case 13:
+          instance.isolated = delay_ms < 750;
+          instance.store.SetDown(delay_ms % 2 == 0);
+          break;
+        case 14:
+        case 15:
+        case 16:
+          if (m_cluster->m_databases.contains(leader.primary)) {
+            m_cluster->m_databases[leader.primary].alive = false;
+          }
+          break;
+        case 17:
+        case 18:
+          RepairAll();
+          break;
+        default:
+          if (delay_ms < 500) {
+            const bool targets_restart = delay_ms % 2 == 0;
+            LosePower(
+                absl::Milliseconds(delay_ms), Returning::kAll,
+                targets_restart ? Targets::kRestart : Targets::kKeepRunning);
+          }
+          break;
+      }
+      m_cluster->RunFor(
+          absl::Milliseconds(long_pause ? 4 * pause_ms : pause_ms));
+    }
+    RepairAll();
+    const absl::Duration used_after = TimeUntilUsed();
+    CHECK(used_after <= kLimit);
+    longest = std::max(longest, used_after);
+    m_cluster->RunFor(absl::Seconds(5));  // Nothing is left to happen.
+    orders += m_cluster->promoted.size();
+    violated_seeds += m_cluster->wrong_acknowledgements > 0 ? 1 : 0;
+  }
+  MESSAGE("orders: ", orders,
+          ", seeds with wrong acknowledgements: ", violated_seeds, " of ",
+          seeds.last - seeds.first + 1, ", longest ms without a primary: ",
+          absl::ToInt64Milliseconds(longest));
+}
+
 }  // namespace
 }  // namespace heatherwick
