--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -50,14 +50,15 @@
 struct PendingOrders {
   TargetId target;  // Empty if rows of an earlier version do not show it.
   uint64_t count = 0;
-  // End of the target's log at that time. A shorter log was lost in a restart.
-  Position received;
   // The highest term known when the newest order was recorded. If `target`
   // leads in a higher one, no other order has taken effect after its own.
   uint64_t term_before = 0;
   // Version of the leader row that the record of the newest order replaced;
   // differs for each order.
   uint64_t recorded_after = 0;
+  // End of the target's log at that time. If its log is shorter later, the
+  // target has lost it in a restart.
+  Position received = {};
 };
 
 struct GroupLeader {
