--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -1090,7 +1090,7 @@
   LOG(INFO) << "event=change_confirmed group=" << group
             << " epoch=" << change->epoch << " waited_ms="
             << absl::ToInt64Milliseconds(now - change->published_at)
-            << " expired=" << absl::StrJoin(missing, ",");
+            << " unconfirmed=" << absl::StrJoin(missing, ",");
   change->quiesced = true;
   change->collecting_since = now;
   CollectStatuses(group, attempt);
