gateway: Split the steps after an order's record and its effect

Change: OnOrderRecorded() and OnCandidateLeads() take the bodies of two long callbacks; an order that changed nothing is logged and counted as such, not as a promotion that was seen; three comments say what stopped a reader.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -76,7 +76,8 @@
 // PendingOrders.
 constexpr absl::Duration kPromotionTimeout = absl::Milliseconds(3000);
 // How long an order may take effect after it was sent, and after its record in
-// the leader row was first read. Shorter than kTakeoverAfter.
+// the leader row was first read. Shorter than kTakeoverAfter, so that a holder
+// that waits for orders to end is not taken over.
 const absl::Duration kOrderLifetime = kPromoteCallTimeout + kPromotionTimeout;
 const absl::Duration kRecordedOrderLifetime =
     kStoreCallTimeout + kOrderLifetime;
@@ -136,8 +137,8 @@
   // The candidate claimed to lead in `term_before_promotion` already, so that
   // the order changes nothing if the claim is true.
   bool candidate_claimed = false;
-  // Orders of this and earlier attempts that may not have ended, as recorded in
-  // the leader row, and the time at which they have ended.
+  // The orders of this and earlier attempts as recorded in the leader row. They
+  // end at `orders_end`, but may then have had an effect that nobody saw.
   PendingOrders orders;
   absl::Time orders_end = absl::InfinitePast();
   // The orders had ended when the last collection of statuses began, so that
@@ -1365,6 +1366,8 @@
   const std::optional<TargetId> leading = FindLeadingTarget(group, *change);
   if (leading && (*leading != change->old_primary || !change->planned)) {
     const TargetStatus& status = *StatusOf(*change, *leading);
+    // Repeated orders that were passed on with the old primary's row are older
+    // than its term.
     if (*leading == change->old_primary &&
         change->orders.term_before < m_view.Leader(group).term) {
       LOG(INFO) << "event=primary_kept group=" << group
@@ -1476,40 +1479,46 @@
        {LeadershipView::PromotionLockKey(), "", m_token, false}},
       {record},
       {}};
-  m_store->Commit(transaction, kStoreCallTimeout,
-                  [this, group, attempt, record, orders = next.orders,
-                   recorded_at = m_loop->Now(),
-                   alive = m_alive](const Result<uint64_t>& result) mutable {
-                    PrimaryChange* const recorded =
-                        *alive ? FindChange(group, attempt) : nullptr;
-                    if (recorded == nullptr) {
-                      return;
-                    }
-                    if (!Ok(result)) {
-                      LOG(INFO)
-                          << "event=promotion_not_recorded group=" << group
-                          << " target=" << recorded->candidate << " cause=\""
-                          << ErrorOf(result).message << "\"";
-                      RunStepAfter(group, attempt, kStatusRetryDelay,
-                                   &LeadershipManager::CollectStatuses);
-                      return;
-                    }
-                    recorded->row_version = ValueOf(result);
-                    record.version = ValueOf(result);
-                    RowChanges own;
-                    own.rows = {record};
-                    ApplyRows(own);
-                    // Others count on it that an order is sent soon after its
-                    // record.
-                    if (m_loop->Now() > recorded_at + kStoreCallTimeout) {
-                      RunStepAfter(group, attempt, kStatusRetryDelay,
-                                   &LeadershipManager::CollectStatuses);
-                      return;
-                    }
-                    if (MayPromote(group, attempt)) {
-                      SendPromotion(group, attempt, orders);
-                    }
-                  });
+  m_store->Commit(
+      transaction, kStoreCallTimeout,
+      [this, group, attempt, record, orders = next.orders,
+       recorded_at = m_loop->Now(),
+       alive = m_alive](const Result<uint64_t>& result) mutable {
+        if (!*alive || FindChange(group, attempt) == nullptr) {
+          return;
+        }
+        if (!Ok(result)) {
+          LOG(INFO) << "event=promotion_not_recorded group=" << group
+                    << " target=" << orders.target << " cause=\""
+                    << ErrorOf(result).message << "\"";
+          RunStepAfter(group, attempt, kStatusRetryDelay,
+                       &LeadershipManager::CollectStatuses);
+          return;
+        }
+        record.version = ValueOf(result);
+        OnOrderRecorded(group, attempt, record, orders, recorded_at);
+      });
+}
+
+void LeadershipManager::OnOrderRecorded(const GroupName& group,
+                                        uint64_t attempt,
+                                        const StoredRow& record,
+                                        const PendingOrders& orders,
+                                        absl::Time recorded_at) {
+  FindChange(group, attempt)->row_version = record.version;
+  RowChanges own;
+  own.rows = {record};
+  ApplyRows(own);
+  // Other instances count on an order being sent soon after its record. This
+  // instance may have been paused in between.
+  if (m_loop->Now() > recorded_at + kStoreCallTimeout) {
+    RunStepAfter(group, attempt, kStatusRetryDelay,
+                 &LeadershipManager::CollectStatuses);
+    return;
+  }
+  if (MayPromote(group, attempt)) {
+    SendPromotion(group, attempt, orders);
+  }
 }
 
 void LeadershipManager::SendPromotion(const GroupName& group,
@@ -1604,28 +1613,7 @@
           return;
         }
         if (status && LeadsAfterPromotion(*awaited, *status, queried_at)) {
-          LOG(INFO) << "event=promotion_seen group=" << group
-                    << " target=" << awaited->candidate
-                    << " term=" << status->term
-                    << " replaced_term=" << m_view.Leader(group).term
-                    << " ordered_by=self ms="
-                    << absl::ToInt64Milliseconds(m_loop->Now() -
-                                                 awaited->promotion_sent_at);
-          ++m_promotions_seen;
-          awaited->effect_seen = status->term > awaited->term_before_promotion;
-          // Another target may have taken the lead since the first order, by an
-          // order that arrived late. A second order shows this by a higher
-          // term.
-          GroupState& state = StateOf(group);
-          const std::pair claim(awaited->candidate, status->term);
-          if (!awaited->effect_seen &&
-              std::exchange(state.confirmed_claim, claim) != claim) {
-            awaited->orders_ended = true;
-            Promote(group, attempt, awaited->candidate, *status);
-            return;
-          }
-          awaited->candidate_term = status->term;
-          PublishLeader(group, attempt);
+          OnCandidateLeads(group, attempt, *status);
           return;
         }
         RunStepAfter(group, attempt, kStatusRetryDelay,
@@ -1633,6 +1621,34 @@
       });
 }
 
+void LeadershipManager::OnCandidateLeads(const GroupName& group,
+                                         uint64_t attempt,
+                                         const TargetStatus& status) {
+  PrimaryChange* const change = FindChange(group, attempt);
+  change->effect_seen = status.term > change->term_before_promotion;
+  LOG(INFO) << (change->effect_seen ? "event=promotion_seen group="
+                                    : "event=promotion_changed_nothing group=")
+            << group << " target=" << change->candidate
+            << " term=" << status.term
+            << " replaced_term=" << m_view.Leader(group).term
+            << " ordered_by=self ms="
+            << absl::ToInt64Milliseconds(m_loop->Now() -
+                                         change->promotion_sent_at);
+  m_promotions_seen += change->effect_seen ? 1 : 0;
+  // An order that arrived late may have given another target the lead after the
+  // first order for this one had arrived. A second order shows that by a higher
+  // term.
+  const std::pair claim(change->candidate, status.term);
+  if (!change->effect_seen &&
+      std::exchange(StateOf(group).confirmed_claim, claim) != claim) {
+    change->orders_ended = true;
+    Promote(group, attempt, change->candidate, status);
+    return;
+  }
+  change->candidate_term = status.term;
+  PublishLeader(group, attempt);
+}
+
 void LeadershipManager::PublishLeader(const GroupName& group,
                                       uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -207,6 +207,12 @@
   // False, and restarts the change, if the promotion lock may be lost.
   bool MayPromote(const GroupName& group, uint64_t attempt);
   void RecordOrder(const GroupName& group, uint64_t attempt);
+  // Sends the order that `record`, the leader row as stored, shows.
+  void OnOrderRecorded(const GroupName& group,
+                       uint64_t attempt,
+                       const StoredRow& record,
+                       const PendingOrders& orders,
+                       absl::Time recorded_at);
   void SendPromotion(const GroupName& group,
                      uint64_t attempt,
                      const PendingOrders& orders);
@@ -215,6 +221,11 @@
                            const TargetStatus& status,
                            absl::Time queried_at) const;
   void AwaitPrimary(const GroupName& group, uint64_t attempt);
+  // Publishes the candidate, or orders it once more if its order changed
+  // nothing.
+  void OnCandidateLeads(const GroupName& group,
+                        uint64_t attempt,
+                        const TargetStatus& status);
   void PublishLeader(const GroupName& group, uint64_t attempt);
   void RestartChange(const GroupName& group,
                      uint64_t attempt,
