tests: Guard the term that the record of an order shows

Change: PromotionOrder_ReplacedTargetOrderedAgain_ItsOldClaimIsNoEffect plays two promotions that nobody saw and a third order, whose holder ends.

--- a/Tests/gateway/promotion_order_test.cc
+++ b/Tests/gateway/promotion_order_test.cc
@@ -401,6 +401,32 @@
           absl::ToInt64Milliseconds(longest));
 }
 
+// A target that was promoted and replaced unseen is ordered again. Its claim is
+// newer than the row's term, but older than what the order's record shows.
+TEST_CASE_FIXTURE(
+    PromotionOrderFixture,
+    "PromotionOrder_ReplacedTargetOrderedAgain_ItsOldClaimIsNoEffect") {
+  Start(4);
+  int orders = 0;
+  m_cluster->order_fate = [&orders](const TargetId&) {
+    return OrderFate{absl::Milliseconds(++orders < 3 ? 300 : 2900), true};
+  };
+  m_cluster->m_databases["g0-db0"].alive = false;
+  RunUntilOrders(1);
+  SetUnreachable({"g0-db1"});
+  RunUntilOrders(2);
+  SetUnreachable({"g0-db1", "g0-db2"});
+  m_cluster->RunFor(absl::Seconds(7));
+  SetUnreachable({"g0-db2"});
+  RunUntilOrders(3);
+  REQUIRE(m_cluster->promoted ==
+          std::vector<TargetId>{"g0-db1", "g0-db2", "g0-db1"});
+  RestartHolder();
+  SetUnreachable({"g0-db2"});
+  m_cluster->RunFor(absl::Seconds(12));
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 // Orders take effect at random times, or never, whether they are answered or
 // not; holders end between an order and its effect, and targets answer some
 // instances only.
