tests: Let the late order arrive after the old primary was ordered

Cause: PromotionRecovery_OrderArrivesLate_DeposedPrimaryIsNotUsed passed with one confirmation of a claim as well: the late order took effect before the old primary was ordered, because the lock's lease restarts the change first. Change: it takes effect 6.5 s after it was sent instead of 4.6 s.

--- a/Tests/gateway/promotion_recovery_test.cc
+++ b/Tests/gateway/promotion_recovery_test.cc
@@ -117,7 +117,7 @@
   Start(2);
   m_cluster->decided_when_ordered = true;
   m_cluster->order_fate = [](const TargetId& target) {
-    return OrderFate{absl::Milliseconds(target == "g0-db1" ? 4600 : 1000),
+    return OrderFate{absl::Milliseconds(target == "g0-db1" ? 6500 : 1000),
                      target != "g0-db1"};
   };
   SetUnreachable({"g0-db0"});
