tests: Keep the promotion test's servers reachable until the end

Its stand-in server is left undestroyed on purpose; once closed, its thread had ended and nothing referred to it. Ruled out: a leak of the product; all allocations are the fixture's. Change: the fixture holds its servers in a static list.

--- a/Tests/platform/http_promotion_api_test.cc
+++ b/Tests/platform/http_promotion_api_test.cc
@@ -32,12 +32,11 @@
         static_cast<uint16_t>(std::stoi(address.substr(colon + 1)));
   }
 
-  // Counts requests and never answers. Never destroyed, because its threads run
-  // until the process ends.
+  // Counts requests and never answers.
   const std::shared_ptr<std::atomic<int>> m_received =
       std::make_shared<std::atomic<int>>(0);
   LoopbackServer* const m_server =
-      new LoopbackServer([received = m_received](tcp::socket socket) {
+      Keep(new LoopbackServer([received = m_received](tcp::socket socket) {
         boost::beast::flat_buffer buffer;
         error_code error;
         while (!error) {
@@ -45,8 +44,17 @@
           http::read(socket, buffer, request, error);
           *received += error ? 0 : 1;
         }
-      });
+      }));
   Endpoint m_endpoint;
+
+ private:
+  // Servers are never destroyed, because their threads run until the process
+  // ends. Holding them shows the leak checker that this is meant.
+  static LoopbackServer* Keep(LoopbackServer* server) {
+    static auto* const servers = new std::vector<LoopbackServer*>();
+    servers->push_back(server);
+    return server;
+  }
 };
 
 TEST_CASE_FIXTURE(HttpPromotionApiFixture,
