--- a/Source/base/types.h
+++ b/Source/base/types.h
@@ -14,6 +14,7 @@
 using GroupName = std::string;
 using InstanceId = std::string;
 using TargetId = std::string;
+using WorkspaceName = std::string;
 
 // Identifies a request within the group's home, the instance that owns the
 // group's queue.
--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -37,9 +37,11 @@
  public:
   Link(BorrowingDriver* driver,
        ListedTarget target,
+       WorkspaceName workspace,
        std::function<void(Error)> on_close)
       : m_driver(driver),
         m_target(std::move(target)),
+        m_workspace(std::move(workspace)),
         m_on_close(std::move(on_close)) {}
 
   void Opened(const std::function<void(Result<Position>)>& on_open) {
@@ -112,7 +114,8 @@
     m_in_flight = true;
     m_sent = m_driver->m_loop->Now();
     m_request = m_driver->m_next_request++;
-    RunQuery query{m_target.group, m_target.id, m_loan, {}, m_request};
+    RunQuery query{m_target.group, m_target.id, m_workspace,
+                   m_loan,         {},          m_request};
     for (const Entry& entry : m_running) {
       query.commands.push_back(entry.command);
     }
@@ -211,6 +214,7 @@
 
   BorrowingDriver* const m_driver;
   const ListedTarget m_target;
+  const WorkspaceName m_workspace;
   std::function<void(Error)> m_on_close;
   std::deque<Entry> m_queue;    // Not sent yet.
   std::deque<Entry> m_running;  // Sent and not answered.
@@ -267,12 +271,15 @@
 
 std::unique_ptr<TargetLink> BorrowingDriver::Open(
     const ListedTarget& target,
+    const WorkspaceName& workspace,
     std::function<void(Result<Position>)> on_open,
     std::function<void(Error)> on_close) {
   if (!Borrows(target.group)) {
-    return OpenDirect(target, std::move(on_open), std::move(on_close));
+    return OpenDirect(target, workspace, std::move(on_open),
+                      std::move(on_close));
   }
-  auto link = std::make_shared<Link>(this, target, std::move(on_close));
+  auto link =
+      std::make_shared<Link>(this, target, workspace, std::move(on_close));
   m_loop->Post(
       [link, on_open = std::move(on_open)]() { link->Opened(on_open); });
   return std::make_unique<BorrowedLink<Link>>(std::move(link));
@@ -280,19 +287,22 @@
 
 std::unique_ptr<TargetLink> BorrowingDriver::OpenDirect(
     const ListedTarget& target,
+    const WorkspaceName& workspace,
     std::function<void(Result<Position>)> on_open,
     std::function<void(Error)> on_close) {
-  return m_direct->Open(target, std::move(on_open), std::move(on_close));
+  return m_direct->Open(target, workspace, std::move(on_open),
+                        std::move(on_close));
 }
 
 std::unique_ptr<TargetLink> BorrowingDriver::Borrow(
     const ListedTarget& target,
+    const WorkspaceName& workspace,
     const std::function<void(Error)>& on_close) {
   if (!Choose(target.group, {})) {
     return nullptr;
   }
   return std::make_unique<BorrowedLink<Link>>(
-      std::make_shared<Link>(this, target, on_close));
+      std::make_shared<Link>(this, target, workspace, on_close));
 }
 
 std::optional<TargetStatus> BorrowingDriver::ParseStatus(const Reply& reply) {
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -42,10 +42,12 @@
 
   std::unique_ptr<TargetLink> Open(
       const ListedTarget& target,
+      const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override;
   std::unique_ptr<TargetLink> OpenDirect(
       const ListedTarget& target,
+      const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override;
   std::optional<TargetStatus> ParseStatus(const Reply& reply) override;
@@ -56,6 +58,7 @@
   }
   std::unique_ptr<TargetLink> Borrow(
       const ListedTarget& target,
+      const WorkspaceName& workspace,
       const std::function<void(Error)>& on_close) override;
 
   // Asks a lender for the newest known position of the group's primary.
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -39,9 +39,11 @@
 
 CallerSession::CallerSession(Gateway* gateway,
                              std::string database,
+                             std::string key,
                              CallerLink* link)
     : m_gateway(gateway),
       m_database(std::move(database)),
+      m_key(std::move(key)),
       m_link(link),
       m_last_activity(gateway->Loop()->Now()) {
   m_gateway->AddSession(this);
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -36,6 +36,8 @@
 struct TargetRequest {
   Statement statement;
   Route route;
+  // Whose connection the statement needs; empty if it belongs to no workspace.
+  WorkspaceName workspace;
   bool writes = false;  // Must run on the primary.
   // Part of a transaction that may write, which runs on the primary.
   bool read_write_transaction = false;
@@ -52,7 +54,11 @@
 
 class CallerSession {
  public:
-  CallerSession(Gateway* gateway, std::string database, CallerLink* link);
+  // `key` identifies the caller's workspace; it may be empty.
+  CallerSession(Gateway* gateway,
+                std::string database,
+                std::string key,
+                CallerLink* link);
   ~CallerSession();
 
   void OnStatement(Statement statement);
@@ -124,6 +130,7 @@
 
   Gateway* const m_gateway;
   const std::string m_database;
+  const std::string m_key;  // Never logged.
   CallerLink* const m_link;
   SessionValues m_values;
   std::map<std::string, Prepared> m_prepared;
--- a/Source/gateway/configuration.h
+++ b/Source/gateway/configuration.h
@@ -6,10 +6,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "Source/base/types.h"
+#include "Source/decision/workspace_quota.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
@@ -30,6 +32,16 @@
   absl::Duration statement_timeout;
   absl::Duration latency_objective;  // For a whole operation.
   int priority = 0;                  // Lower values are served first.
+  bool is_public = false;            // Callers need no key.
+};
+
+// A customer's account. Its callers are known by their keys.
+struct Workspace {
+  WorkspaceName name;
+  std::set<std::string> keys;  // Never logged.
+  int priority = 0;            // Lower values are served first.
+  // Operations over all instances. Nothing if the operator set no limit.
+  std::optional<WorkspaceQuota> quota;
 };
 
 struct GroupSettings {
@@ -39,6 +51,14 @@
 
 struct Configuration {
   uint64_t version = 0;
+  // True if the operator lists workspaces; callers then need a key of one,
+  // except on public routes.
+  bool has_workspaces = false;
+  // Workspaces with usable names and keys. No key belongs to two of them.
+  std::map<WorkspaceName, Workspace, std::less<>> workspaces;
+  // Workspaces whose quota could not be read. They keep the one of the
+  // configuration before.
+  std::set<WorkspaceName> invalid_quotas;
   std::map<std::string, Route, std::less<>> routes;  // By database name.
   std::map<GroupName, GroupSettings, std::less<>> groups;
   // Groups whose settings could not be read. The gateway keeps those of the
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -102,7 +102,8 @@
   }
   TargetPool* const pool = m_find_pool(key.first, key.second);
   while (pool != nullptr && !waiting->second.empty()) {
-    TargetConnection* const connection = pool->AcquireToLend();
+    const WorkspaceName& workspace = waiting->second.front().query.workspace;
+    TargetConnection* const connection = pool->AcquireToLend(workspace);
     if (connection == nullptr && pool->OwnOpenCount() == 0 && pool->AtLimit()) {
       const Request request = std::move(waiting->second.front());
       waiting->second.pop_front();
@@ -111,7 +112,8 @@
       continue;
     }
     if (connection == nullptr) {
-      pool->EnsureOpening(std::min(kMaxOpening, waiting->second.size()));
+      pool->EnsureOpening(workspace,
+                          std::min(kMaxOpening, waiting->second.size()));
       return;
     }
     Request request = std::move(waiting->second.front());
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -473,7 +473,8 @@
                       CallerSession* session,
                       std::optional<Position> required,
                       bool at_primary) {
-  TargetConnection* const connection = pool->Acquire(session->Values());
+  TargetConnection* const connection =
+      pool->Acquire(session->WaitingRequest()->workspace, session->Values());
   if (connection == nullptr) {
     return false;
   }
@@ -492,6 +493,7 @@
     return true;
   }
   pool->EnsureOpening(
+      session->WaitingRequest()->workspace,
       group->on_demand ? 1 : std::min<size_t>(2, WaitingCount(*group) + 1));
   return false;
 }
@@ -529,7 +531,7 @@
     }
   }
   if (!candidates.empty()) {
-    candidates.front().second->EnsureOpening(1);
+    candidates.front().second->EnsureOpening(request.workspace, 1);
   }
   return false;
 }
@@ -643,7 +645,7 @@
     // a dead target is noticed.
     if (pool->OwnOpenCount() == 0 && !pool->Target().draining &&
         !group->on_demand && m_configuration.groups.contains(name)) {
-      pool->EnsureOpening(1);
+      pool->EnsureOpening("", 1);
     }
   }
   CheckQuiesced(name, group);
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -78,7 +78,7 @@
 Reply ToReply(const proto::LentReply& message) {
   Reply reply;
   // An unknown code may mean that the statement has run.
-  reply.code = message.code() <= static_cast<uint32_t>(ReplyCode::kOther)
+  reply.code = message.code() <= static_cast<uint32_t>(ReplyCode::kUnauthorized)
                    ? static_cast<ReplyCode>(message.code())
                    : ReplyCode::kOther;
   reply.rows = {message.rows().begin(), message.rows().end()};
@@ -190,6 +190,7 @@
     m_loop->Post([this, request, reply, reactor]() {
       RunQuery query{request->group(),
                      request->target(),
+                     request->workspace(),
                      request->loan(),
                      {},
                      request->request()};
@@ -212,6 +213,13 @@
                 static_cast<proto::RunReply::Outcome>(response.outcome));
             reply->set_loan(response.loan);
             reply->set_cause(response.cause);
+            if (response.load) {
+              proto::LentLoad* const load = reply->mutable_load();
+              load->set_running(response.load->running);
+              load->set_waiting(response.load->waiting);
+              load->set_latency_us(
+                  absl::ToInt64Microseconds(response.load->latency));
+            }
             reactor->Finish(grpc::Status::OK);
           });
     });
@@ -255,6 +263,23 @@
     return reactor;
   }
 
+  grpc::ServerUnaryReactor* Quota(grpc::CallbackServerContext* context,
+                                  const proto::QuotaRequest* request,
+                                  proto::QuotaReply* reply) override {
+    grpc::ServerUnaryReactor* const reactor = context->DefaultReactor();
+    m_loop->Post([this, request, reply, reactor]() {
+      const QuotaResponse answer =
+          m_responders->quota({request->workspace(), request->shard(),
+                               request->shards(), request->count()});
+      reply->set_outcome(
+          static_cast<proto::QuotaReply::Outcome>(answer.outcome));
+      reply->set_granted(answer.granted);
+      reply->set_retry_after_us(absl::ToInt64Microseconds(answer.retry_after));
+      reactor->Finish(grpc::Status::OK);
+    });
+    return reactor;
+  }
+
  private:
   static void FillReply(const FollowResponse& answer,
                         proto::FollowReply* reply) {
@@ -505,6 +530,7 @@
   request.set_group(query.group);
   request.set_target(query.target);
   request.set_loan(query.loan);
+  request.set_workspace(query.workspace);
   request.set_request(query.request);
   for (const TargetCommand& command : query.commands) {
     *request.add_commands() = ToMessage(command);
@@ -527,6 +553,11 @@
         }
         response.loan = reply.loan();
         response.cause = reply.cause();
+        if (reply.has_load()) {
+          response.load =
+              TargetLoad{reply.load().running(), reply.load().waiting(),
+                         absl::Microseconds(reply.load().latency_us())};
+        }
         done(std::move(response));
       });
 }
@@ -581,4 +612,38 @@
       });
 }
 
+void GrpcPeerTransport::AskQuota(
+    const std::string& address,
+    const QuotaQuery& query,
+    absl::Duration timeout,
+    std::function<void(Result<QuotaResponse>)> done) {
+  using Async = proto::Leadership::Stub::async_interface;
+  using Method =
+      void (Async::*)(grpc::ClientContext*, const proto::QuotaRequest*,
+                      proto::QuotaReply*, std::function<void(grpc::Status)>);
+  proto::QuotaRequest request;
+  request.set_workspace(query.workspace);
+  request.set_shard(query.shard);
+  request.set_shards(query.shards);
+  request.set_count(query.count);
+  Start<proto::QuotaRequest, proto::QuotaReply>(
+      address, static_cast<Method>(&Async::Quota), std::move(request), timeout,
+      [done = std::move(done)](const Result<proto::QuotaReply>& result) {
+        if (!Ok(result)) {
+          done(ErrorOf(result));
+          return;
+        }
+        const proto::QuotaReply& reply = ValueOf(result);
+        if (!proto::QuotaReply::Outcome_IsValid(reply.outcome())) {
+          done(Error{ErrorKind::kInternal,
+                     "the instance gave an unknown outcome",
+                     "check that all instances run compatible versions"});
+          return;
+        }
+        done(QuotaResponse{static_cast<QuotaOutcome>(reply.outcome()),
+                           reply.granted(),
+                           absl::Microseconds(reply.retry_after_us())});
+      });
+}
+
 }  // namespace heatherwick
--- a/Source/gateway/grpc_peer_transport.h
+++ b/Source/gateway/grpc_peer_transport.h
@@ -15,12 +15,15 @@
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/peer_transport.h"
+#include "Source/gateway/quota/quota_transport.h"
 #include "grpcpp/channel.h"
 #include "grpcpp/server.h"
 
 namespace heatherwick {
 
-class GrpcPeerTransport : public PeerTransport, public LendingTransport {
+class GrpcPeerTransport : public PeerTransport,
+                          public LendingTransport,
+                          public QuotaTransport {
  public:
   // The handlers of incoming calls. They run on the event loop's thread.
   struct Responders {
@@ -33,6 +36,7 @@
     std::function<void(uint64_t loan)> end_loan;
     std::function<void(uint64_t request)> cancel;
     std::function<LenderPosition(const GroupName&)> position;
+    std::function<QuotaResponse(const QuotaQuery&)> quota;
   };
 
   GrpcPeerTransport(EventLoop* loop, Responders responders);
@@ -65,6 +69,12 @@
                      absl::Duration timeout,
                      std::function<void(Result<LenderPosition>)> done) override;
 
+  // QuotaTransport:
+  void AskQuota(const std::string& address,
+                const QuotaQuery& query,
+                absl::Duration timeout,
+                std::function<void(Result<QuotaResponse>)> done) override;
+
  private:
   class Service;
 
--- a/Source/gateway/lending.h
+++ b/Source/gateway/lending.h
@@ -6,11 +6,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Source/base/error.h"
 #include "Source/base/types.h"
+#include "Source/decision/target_load.h"
 #include "Source/gateway/target_link.h"
 #include "absl/time/time.h"
 
@@ -20,6 +22,8 @@
 struct RunQuery {
   GroupName group;
   TargetId target;
+  // The connection has to be one of this workspace; empty if of none.
+  WorkspaceName workspace;
   // The loan that holds an open transaction; 0 asks for a connection.
   uint64_t loan = 0;
   std::vector<TargetCommand> commands;
@@ -40,6 +44,9 @@
   std::vector<Reply> replies;
   uint64_t loan = 0;  // Set while a transaction is open on the connection.
   std::string cause;  // Empty if the outcome is kDone.
+  // What the lender knows of the target, whatever the outcome. Nothing from a
+  // lender of an earlier version.
+  std::optional<TargetLoad> load;
 };
 
 // The newest position of a group's primary that a lender knows.
--- a/Source/gateway/statement.h
+++ b/Source/gateway/statement.h
@@ -65,6 +65,8 @@
   kTooLarge,
   // A code that this version does not know; the statement may have run.
   kOther,
+  // The caller's key belongs to no workspace. Nothing ran.
+  kUnauthorized,
 };
 
 absl::string_view ReplyCodeName(ReplyCode code);
--- a/Source/gateway/target_link.h
+++ b/Source/gateway/target_link.h
@@ -55,25 +55,29 @@
 
   virtual ~TargetDriver() = default;
 
-  // Opens a connection. `on_open` is called once, with the target's log
-  // position or with the error that prevented the connection. `on_close` is
-  // called at most once, if the connection is lost after it was opened.
+  // Opens a connection for a workspace, or for none if its name is empty.
+  // `on_open` is called once, with the target's log position or with the error
+  // that prevented the connection. `on_close` is called at most once, if the
+  // connection is lost after it was opened.
   virtual std::unique_ptr<TargetLink> Open(
       const ListedTarget& target,
+      const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) = 0;
   // As Open(), but the connection is never borrowed.
   virtual std::unique_ptr<TargetLink> OpenDirect(
       const ListedTarget& target,
+      const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) {
-    return Open(target, std::move(on_open), std::move(on_close));
+    return Open(target, workspace, std::move(on_open), std::move(on_close));
   }
 
   // Borrows a connection from an instance that has one, or returns null if no
   // other instance is known. Used while the target accepts no connection more.
   virtual std::unique_ptr<TargetLink> Borrow(
       const ListedTarget&,
+      const WorkspaceName&,
       const std::function<void(Error)>&) {
     return nullptr;
   }
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -67,10 +67,12 @@
   m_maximum = std::max(guaranteed, maximum);
 }
 
-TargetConnection* TargetPool::Acquire(const SessionValues& values) {
+TargetConnection* TargetPool::Acquire(const WorkspaceName& workspace,
+                                      const SessionValues& values) {
   TargetConnection* chosen = nullptr;
   for (const auto& connection : m_connections) {
-    if (!connection->open || connection->busy) {
+    if (!connection->open || connection->busy ||
+        connection->workspace != workspace) {
       continue;
     }
     if (connection->link->Borrowed()) {
@@ -93,11 +95,11 @@
   return chosen;
 }
 
-TargetConnection* TargetPool::AcquireToLend() {
+TargetConnection* TargetPool::AcquireToLend(const WorkspaceName& workspace) {
   TargetConnection* chosen = nullptr;
   for (const auto& connection : m_connections) {
     if (connection->open && !connection->busy &&
-        !connection->link->Borrowed() &&
+        connection->workspace == workspace && !connection->link->Borrowed() &&
         (chosen == nullptr || connection->values.empty())) {
       chosen = connection.get();
     }
@@ -119,17 +121,18 @@
       });
 }
 
-void TargetPool::EnsureOpening(size_t wanted_count) {
+void TargetPool::EnsureOpening(const WorkspaceName& workspace,
+                               size_t wanted_count) {
   const absl::Time now = m_loop->Now();
   if (AtLimit() && OwnOpenCount() == 0) {
-    BorrowOne();
+    BorrowOne(workspace);
   }
   if (now < m_retry_at) {
     return;
   }
   size_t opening = 0;
   for (const auto& connection : m_connections) {
-    opening += connection->open ? 0 : 1;
+    opening += !connection->open && connection->workspace == workspace ? 1 : 0;
   }
   const size_t limit =
       AtLimit() ? std::max<size_t>(1, m_guaranteed) : m_maximum;
@@ -138,13 +141,13 @@
     connections += connection->link->Borrowed() && m_guaranteed > 0 ? 0 : 1;
   }
   while (opening < wanted_count && connections < limit) {
-    Open(false);
+    Open(workspace, false);
     ++opening;
     ++connections;
   }
 }
 
-void TargetPool::BorrowOne() {
+void TargetPool::BorrowOne(const WorkspaceName& workspace) {
   size_t borrowed = 0;
   for (const auto& connection : m_connections) {
     borrowed += connection->link->Borrowed() ? 1 : 0;
@@ -155,14 +158,16 @@
   auto connection = std::make_unique<TargetConnection>();
   TargetConnection* const borrower = connection.get();
   connection->pool = this;
+  connection->workspace = workspace;
   connection->open = true;
   connection->state_changed_at = m_loop->Now();
-  connection->link = m_driver->Borrow(
-      m_target, [this, borrower, alive = m_alive](const Error& error) {
-        if (*alive) {
-          OnConnectionLost(borrower, error);
-        }
-      });
+  connection->link =
+      m_driver->Borrow(m_target, workspace,
+                       [this, borrower, alive = m_alive](const Error& error) {
+                         if (*alive) {
+                           OnConnectionLost(borrower, error);
+                         }
+                       });
   if (!connection->link) {
     return;
   }
@@ -174,10 +179,12 @@
   });
 }
 
-TargetConnection* TargetPool::Open(bool direct) {
+TargetConnection* TargetPool::Open(const WorkspaceName& workspace,
+                                   bool direct) {
   m_connections.push_back(std::make_unique<TargetConnection>());
   TargetConnection* const connection = m_connections.back().get();
   connection->pool = this;
+  connection->workspace = workspace;
   connection->state_changed_at = m_loop->Now();
   auto on_open = [this, connection,
                   alive = m_alive](const Result<Position>& opened) {
@@ -190,8 +197,9 @@
       OnConnectionLost(connection, error);
     }
   };
-  connection->link = direct ? m_driver->OpenDirect(m_target, on_open, on_close)
-                            : m_driver->Open(m_target, on_open, on_close);
+  connection->link =
+      direct ? m_driver->OpenDirect(m_target, workspace, on_open, on_close)
+             : m_driver->Open(m_target, workspace, on_open, on_close);
   return connection;
 }
 
@@ -318,7 +326,7 @@
   };
   auto query = std::make_shared<Query>();
   query->done = std::move(done);
-  query->connection = Acquire({});
+  query->connection = Acquire("", {});
   // A dead connection must not make a live target look silent: if the free
   // connection was last used more than 1 s ago, the query uses a new one.
   if (query->connection != nullptr &&
@@ -333,7 +341,7 @@
       m_loop->Post([query]() { query->Finish(std::nullopt); });
       return;
     }
-    query->connection = Open(true);
+    query->connection = Open("", true);
     query->connection->busy = true;
   }
   TargetConnection* const connection = query->connection;
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -28,6 +28,7 @@
 struct TargetConnection {
   TargetPool* pool = nullptr;
   std::unique_ptr<TargetLink> link;
+  WorkspaceName workspace;  // Empty if the connection belongs to none.
   bool open = false;
   bool busy = false;     // In use by a request, transaction or status query.
   SessionValues values;  // Set on the connection.
@@ -67,18 +68,19 @@
   // `maximum` may be opened while the target accepts them.
   void SetLimits(size_t guaranteed, size_t maximum);
 
-  // Marks a free open connection busy and returns it, preferring one whose
-  // session values equal `values`. Returns null if none is free.
-  TargetConnection* Acquire(const SessionValues& values);
+  // Marks a free open connection of `workspace` busy and returns it, preferring
+  // one whose session values equal `values`. Returns null if none is free.
+  TargetConnection* Acquire(const WorkspaceName& workspace,
+                            const SessionValues& values);
   // As Acquire(), but never returns a borrowed connection.
-  TargetConnection* AcquireToLend();
+  TargetConnection* AcquireToLend(const WorkspaceName& workspace);
   // Connections of this instance itself that are open.
   size_t OwnOpenCount() const;
   // True if the target has refused a connection lately because of its limit.
   bool AtLimit() const;
-  // Opens connections until `wanted_count` are being opened, as far as the
-  // limits allow.
-  void EnsureOpening(size_t wanted_count);
+  // Opens connections until `wanted_count` of `workspace` are being opened, as
+  // far as the limits allow.
+  void EnsureOpening(const WorkspaceName& workspace, size_t wanted_count);
   void Release(TargetConnection* connection);
   // Closes the connection and notifies the observer later. The target rolls
   // back any transaction open on it.
@@ -115,10 +117,10 @@
  private:
   void OnOpened(TargetConnection* connection, const Result<Position>& opened);
   void OnConnectionLost(TargetConnection* connection, const Error& error);
-  TargetConnection* Open(bool direct);
+  TargetConnection* Open(const WorkspaceName& workspace, bool direct);
   // Borrows a connection while the target accepts none. The connection is open
   // at once.
-  void BorrowOne();
+  void BorrowOne(const WorkspaceName& workspace);
   void Remove(TargetConnection* connection);
 
   ListedTarget m_target;
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -50,6 +50,7 @@
 
   std::unique_ptr<TargetLink> Open(
       const ListedTarget& target,
+      const WorkspaceName&,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
     const int number = ++m_opened;
@@ -186,7 +187,7 @@
 
   CallerSession& Open(const std::string& database) {
     m_session =
-        std::make_unique<CallerSession>(&m_gateway, database, &m_caller);
+        std::make_unique<CallerSession>(&m_gateway, database, "", &m_caller);
     return *m_session;
   }
 
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -36,6 +36,7 @@
 
   std::unique_ptr<TargetLink> Open(
       const ListedTarget&,
+      const WorkspaceName&,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
     const int number = ++opened;
@@ -200,9 +201,9 @@
     // Runs the statements that wait, as the gateway does.
     void ServeWaiting() {
       while (!waiting.empty()) {
-        TargetConnection* const connection = pool.Acquire({});
+        TargetConnection* const connection = pool.Acquire("", {});
         if (connection == nullptr) {
-          pool.EnsureOpening(1);
+          pool.EnsureOpening("", 1);
           return;
         }
         const auto done = std::move(waiting.front());
@@ -343,7 +344,7 @@
     m_callers.push_back(std::make_unique<Caller>());
     Caller* const caller = m_callers.back().get();
     caller->link = m_borrowers[borrower]->driver.Open(
-        Fleet::Target(), [](const Result<Position>&) {},
+        Fleet::Target(), "", [](const Result<Position>&) {},
         [caller](const Error&) { ++caller->closed; });
     m_fleet.loop.RunFor(absl::Milliseconds(1));
     return *caller;
@@ -559,14 +560,14 @@
 
 // A loan of an earlier run of the lender must not be taken for another one.
 TEST_CASE_FIXTURE(LendingFixture, "Lending_UnknownLoan_IsRefused") {
-  RunQuery query{"g", "db", 77, {{}}, 1};
+  RunQuery query{"g", "db", "", 77, {{}}, 1};
   RunOutcome outcome = RunOutcome::kDone;
   m_fleet.instances.at(m_fleet.lenders[0])
       ->lender.OnRun(query, [&outcome](const RunResponse& response) {
         outcome = response.outcome;
       });
   CHECK(outcome == RunOutcome::kRefused);
-  query = {"g", "db", 0, {}, 2};
+  query = {"g", "db", "", 0, {}, 2};
   m_fleet.instances.at(m_fleet.lenders[0])
       ->lender.OnRun(query, [&outcome](const RunResponse& response) {
         outcome = response.outcome;
--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -51,6 +51,80 @@
   CHECK(configuration.routes.size() == 1);
 }
 
+// Decodes a configuration whose list of workspaces is `tenants`.
+Configuration DecodeWithWorkspaces(const std::string& tenants) {
+  const auto decoded = DecodeConfiguration(
+      R"({"version":7,"routes":[],"services":[],"tenants":)" + tenants + "}");
+  REQUIRE(Ok(decoded));
+  return ValueOf(decoded);
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture, "Configuration_Workspaces_AreDecoded") {
+  const Configuration configuration =
+      DecodeWithWorkspaces(R"([{"name":"w","apiKeys":["k1","k2"],"priority":2,)"
+                           R"("ratePerS":351,"burst":20}])");
+  CHECK(configuration.has_workspaces);
+  const Workspace& workspace = configuration.workspaces.at("w");
+  CHECK(workspace.keys == std::set<std::string>{"k1", "k2"});
+  CHECK(workspace.priority == 2);
+  CHECK(workspace.quota == WorkspaceQuota{351, 20});
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_NoWorkspaces_KeysAreNotAskedFor") {
+  CHECK_FALSE(Decode("").has_workspaces);
+}
+
+// An entry that cannot be used must not admit its keys, nor cost another
+// workspace its own.
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_InvalidWorkspace_CostsItAlone") {
+  for (const char* invalid :
+       {R"({"apiKeys":["k9"]})", R"({"name":"x"})",
+        R"({"name":"x","apiKeys":"k9"})", R"({"name":"x","apiKeys":["k9",5]})",
+        R"({"name":"x","apiKeys":["k9","k1"]})",
+        R"({"name":"w","apiKeys":["k9"]})", R"(7)"}) {
+    CAPTURE(invalid);
+    const Configuration configuration = DecodeWithWorkspaces(
+        absl::StrCat(R"([{"name":"w","apiKeys":["k1"]},)", invalid,
+                     R"(,{"name":"v","apiKeys":["k2"]}])"));
+    CHECK(configuration.workspaces.size() == 2);
+    CHECK(configuration.workspaces.at("w").keys == std::set<std::string>{"k1"});
+    CHECK(configuration.workspaces.contains("v"));
+  }
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_InvalidQuota_KeepsTheWorkspace") {
+  for (const char* quota :
+       {R"("ratePerS":-1,"burst":5)", R"("ratePerS":1e300,"burst":5)",
+        R"("ratePerS":"5")", R"("burst":5)"}) {
+    CAPTURE(quota);
+    const Configuration configuration = DecodeWithWorkspaces(
+        absl::StrCat(R"([{"name":"w","apiKeys":["k1"],)", quota, "}]"));
+    CHECK(configuration.workspaces.at("w").quota == std::nullopt);
+    CHECK(configuration.invalid_quotas.contains("w"));
+  }
+}
+
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_TenThousandWorkspaces_AreDecoded") {
+  std::string list;
+  for (int i = 0; i < 10000; ++i) {
+    absl::StrAppend(&list, i == 0 ? "[" : ",", R"({"name":"w)", i,
+                    R"(","apiKeys":["k)", i, R"("]})");
+  }
+  CHECK(DecodeWithWorkspaces(list + "]").workspaces.size() == 10000);
+}
+
+// A list of workspaces that cannot be read must not admit everybody.
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_WorkspacesNotAList_AdmitsNobody") {
+  const Configuration configuration = DecodeWithWorkspaces("5");
+  CHECK(configuration.has_workspaces);
+  CHECK(configuration.workspaces.empty());
+}
+
 TEST_CASE_FIXTURE(DocumentsFixture, "Configuration_NotJson_IsAnError") {
   CHECK_FALSE(Ok(DecodeConfiguration("\xff\xfe")));
   CHECK_FALSE(Ok(DecodeConfiguration("{}")));
--- a/Tests/platform/wire_codec_test.cc
+++ b/Tests/platform/wire_codec_test.cc
@@ -73,6 +73,19 @@
   CHECK_FALSE(Ok(ParseStart("START ")));
 }
 
+TEST_CASE_FIXTURE(WireCodecFixture, "ParseStart_WithKey_ReturnsBoth") {
+  const Result<StartMessage> start = ParseStart("START db k1");
+  REQUIRE(Ok(start));
+  CHECK(ValueOf(start).database == "db");
+  CHECK(ValueOf(start).key == "k1");
+}
+
+// A target must be told the workspace, and a fixed word if there is none.
+TEST_CASE_FIXTURE(WireCodecFixture, "FormatTargetStart_Workspace_IsNamed") {
+  CHECK(FormatTargetStart("g", "w", "i-1") == "START g w i-1\r\n");
+  CHECK(FormatTargetStart("g", "", "i-1") == "START g heatherwick i-1\r\n");
+}
+
 TEST_CASE_FIXTURE(WireCodecFixture,
                   "FormatCommand_RequiredPosition_PrecedesText") {
   TargetCommand command;
