--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -130,12 +130,70 @@
   FinishStatement(reply);
 }
 
+bool CallerSession::Authorize() {
+  const Route* const route = m_in_transaction
+                                 ? &m_transaction_route
+                                 : m_gateway->FindRoute(m_database);
+  if (route == nullptr) {
+    return true;  // The statement is refused for this reason.
+  }
+  const Access access = m_gateway->CheckAccess(m_key, *route);
+  if (access.outcome == AccessOutcome::kGranted) {
+    if (!m_in_transaction) {
+      m_workspace = access.workspace;
+    }
+    if (access.workspace == m_workspace) {
+      return true;
+    }
+  }
+  const bool in_transaction = m_in_transaction;
+  Rollback();
+  m_gateway->GetMetrics()->Count("statements/unauthorized");
+  switch (access.outcome) {
+    case AccessOutcome::kUnknownKey:
+      ReplyLocally(ReplyCode::kUnauthorized, "no workspace has the key");
+      break;
+    case AccessOutcome::kConfigurationStale:
+      ReplyLocally(in_transaction ? ReplyCode::kAborted : ReplyCode::kBusy,
+                   absl::StrCat(kRetryHint,
+                                "; the instance cannot read which keys are in "
+                                "force"));
+      break;
+    case AccessOutcome::kGranted:
+      ReplyLocally(
+          ReplyCode::kAborted,
+          absl::StrCat(kRetryHint, "; the key was moved to another workspace"));
+      return false;
+  }
+  m_link->Close();
+  return false;
+}
+
+void CallerSession::OnKeysChanged() {
+  const Route* const route = m_in_transaction
+                                 ? &m_transaction_route
+                                 : m_gateway->FindRoute(m_database);
+  if (m_request || route == nullptr) {
+    return;  // The next statement is checked.
+  }
+  const Access access = m_gateway->CheckAccess(m_key, *route);
+  if (access.outcome == AccessOutcome::kUnknownKey) {
+    EndTransaction("the key was withdrawn");
+    CloseIdle();
+  } else if (m_in_transaction && access.workspace != m_workspace) {
+    EndTransaction("the key was moved to another workspace");
+  }
+}
+
 void CallerSession::OnStatement(Statement statement) {
   if (m_request) {
     ReplyLocally(ReplyCode::kMalformed,
                  "a statement is already in progress; wait for its reply");
     return;
   }
+  if (!Authorize()) {
+    return;
+  }
   if (!m_transaction_loss_cause.empty() &&
       statement.kind != StatementKind::kRollback) {
     m_in_transaction = false;
@@ -256,6 +314,7 @@
   const absl::Time now = m_gateway->Loop()->Now();
   TargetRequest request;
   request.in_transaction = m_in_transaction;
+  request.workspace = m_workspace;
   if (m_in_transaction) {
     request.route = m_transaction_route;
   } else {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -71,6 +71,10 @@
   // Closes the session if it has been idle since `idle_since` or earlier.
   void CloseIdleSince(absl::Time idle_since);
 
+  // Ends the open transaction, or closes the idle session, if its key no longer
+  // admits it.
+  void OnKeysChanged();
+
   // The functions below are called by the gateway.
 
   // The statement that waits for a target; null when there is none.
@@ -103,6 +107,9 @@
     std::string target_name;
   };
 
+  // Refuses the statement and closes the session if the key does not admit it.
+  // Otherwise the session has the key's workspace.
+  bool Authorize();
   void FinishStatement(const Reply& reply);
   void ReplyLocally(ReplyCode code, const std::string& text);
   void Begin(const Statement& statement);
@@ -131,6 +138,9 @@
   Gateway* const m_gateway;
   const std::string m_database;
   const std::string m_key;  // Never logged.
+  // Of the open transaction or else of the latest statement; empty if the
+  // caller needs none.
+  WorkspaceName m_workspace;
   CallerLink* const m_link;
   SessionValues m_values;
   std::map<std::string, Prepared> m_prepared;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -107,13 +107,45 @@
       configuration.groups.try_emplace(name, known->second);
     }
   }
+  for (const WorkspaceName& name : configuration.invalid_quotas) {
+    const auto known = m_configuration.workspaces.find(name);
+    if (known != m_configuration.workspaces.end()) {
+      configuration.workspaces.at(name).quota = known->second.quota;
+    }
+  }
   m_configuration = std::move(configuration);
+  UpdateAccess();
   for (const auto& [name, settings] : m_configuration.groups) {
     m_groups[name];
   }
   UpdateLimits();
 }
 
+void Gateway::UpdateAccess() {
+  if (!m_configuration.has_workspaces) {
+    m_access.AdmitAll();
+    return;
+  }
+  absl::flat_hash_map<std::string, WorkspaceName> keys;
+  for (const auto& [name, workspace] : m_configuration.workspaces) {
+    for (const std::string& key : workspace.keys) {
+      keys.emplace(key, name);
+    }
+  }
+  m_access.SetKeys(std::move(keys));
+  for (CallerSession* session : std::set(m_sessions)) {
+    session->OnKeysChanged();
+  }
+}
+
+void Gateway::OnConfigurationRead(absl::Time as_of) {
+  m_access.OnReading(as_of);
+}
+
+Access Gateway::CheckAccess(const std::string& key, const Route& route) const {
+  return m_access.Check(key, route.is_public, m_loop->Now());
+}
+
 void Gateway::OnTargets(const std::vector<ListedTarget>& targets) {
   std::map<GroupName, std::set<TargetId>> listed;
   for (const ListedTarget& target : targets) {
@@ -164,7 +196,8 @@
 }
 
 bool Gateway::Ready() const {
-  return Configured() && !m_stopping && m_leadership->LeaseValid();
+  return Configured() && !m_stopping && m_leadership->LeaseValid() &&
+         m_access.Fresh(m_loop->Now());
 }
 
 const Route* Gateway::FindRoute(const std::string& database) const {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -15,6 +15,7 @@
 
 #include "Source/base/decision_log.h"
 #include "Source/base/metrics.h"
+#include "Source/decision/workspace_access.h"
 #include "Source/gateway/borrowing_driver.h"
 #include "Source/gateway/caller_session.h"
 #include "Source/gateway/configuration.h"
@@ -46,6 +47,16 @@
   // Replaces the list of targets by the complete list `targets`.
   void OnTargets(const std::vector<ListedTarget>& targets);
 
+  // The configuration in use was the newest one at `as_of`.
+  void OnConfigurationRead(absl::Time as_of);
+  absl::Time ConfigurationAsOf() const { return m_access.AsOf(); }
+  // See WorkspaceAccess::SetRevocationLimit().
+  void SetRevocationLimit(std::optional<absl::Duration> limit) {
+    m_access.SetRevocationLimit(limit);
+  }
+  // Whether the caller with this key may use the route now.
+  Access CheckAccess(const std::string& key, const Route& route) const;
+
   bool Configured() const { return m_configuration.version > 0; }
   uint64_t ConfigurationVersion() const { return m_configuration.version; }
   // True when the instance can serve new callers.
@@ -139,6 +150,7 @@
     absl::Time quiesce_deadline;
   };
 
+  void UpdateAccess();
   void Tick();
   void TickGroup(const GroupName& name, Group* group);
   void UpdateLimits();
@@ -176,6 +188,7 @@
   BorrowingDriver* m_borrowing = nullptr;
   ConnectionLender* m_lender = nullptr;
   Configuration m_configuration;
+  WorkspaceAccess m_access;  // Has the keys of m_configuration.
   std::map<GroupName, Group> m_groups;
   std::set<CallerSession*> m_sessions;
   std::map<std::string, std::string> m_prepared_names;
