--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <utility>
 
+#include "Source/base/hash.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 
@@ -103,7 +104,7 @@
   void Offer() {
     if (m_loan == 0) {
       const std::optional<Lender> lender =
-          m_driver->Choose(m_target.group, m_refused_by);
+          m_driver->Choose(m_target.group, m_workspace, m_refused_by);
       if (!lender) {
         Refuse("the group has no lender");
         return;
@@ -298,7 +299,7 @@
     const ListedTarget& target,
     const WorkspaceName& workspace,
     const std::function<void(Error)>& on_close) {
-  if (!Choose(target.group, {})) {
+  if (!Choose(target.group, workspace, {})) {
     return nullptr;
   }
   return std::make_unique<BorrowedLink<Link>>(
@@ -313,7 +314,7 @@
     const GroupName& group,
     absl::Duration timeout,
     std::function<void(Result<LenderPosition>)> done) {
-  const std::optional<Lender> lender = Choose(group, {});
+  const std::optional<Lender> lender = Choose(group, "", {});
   if (!lender) {
     m_loop->Post([done = std::move(done)]() {
       done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
@@ -323,8 +324,25 @@
   m_transport->QueryPosition(lender->address, group, timeout, std::move(done));
 }
 
+std::vector<BorrowingDriver::Lender> BorrowingDriver::InOrderFor(
+    const WorkspaceName& workspace,
+    std::vector<Lender> lenders) {
+  if (!workspace.empty()) {
+    const uint64_t seed = StableHash(workspace);
+    std::stable_sort(lenders.begin(), lenders.end(),
+                     [seed](const Lender& first, const Lender& second) {
+                       return std::pair(!first.same_data_centre,
+                                        StableHash(first.id, seed)) <
+                              std::pair(!second.same_data_centre,
+                                        StableHash(second.id, seed));
+                     });
+  }
+  return lenders;
+}
+
 std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
     const GroupName& group,
+    const WorkspaceName& workspace,
     const std::set<InstanceId>& except) const {
   auto lenders = m_lenders.find(group);
   if (lenders == m_lenders.end() || lenders->second.empty()) {
@@ -336,7 +354,7 @@
   const absl::Time now = m_loop->Now();
   std::optional<Lender> chosen;
   absl::Time chosen_until;
-  for (const Lender& lender : lenders->second) {
+  for (const Lender& lender : InOrderFor(workspace, lenders->second)) {
     if (except.contains(lender.id)) {
       continue;
     }
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -27,6 +27,7 @@
   struct Lender {
     InstanceId id;
     std::string address;
+    bool same_data_centre = false;
   };
 
   // `incarnation` differs between all runs of all instances.
@@ -74,9 +75,14 @@
   };
 
   // The preferred lender that is not in `except` and is not avoided. If all are
-  // avoided, the one whose avoidance ends first. Nothing if there is none.
+  // avoided, the one whose avoidance ends first. Nothing if there is none. The
+  // statements of a workspace prefer the same lender of each data centre, where
+  // they find its connections open.
   std::optional<Lender> Choose(const GroupName& group,
+                               const WorkspaceName& workspace,
                                const std::set<InstanceId>& except) const;
+  static std::vector<Lender> InOrderFor(const WorkspaceName& workspace,
+                                        std::vector<Lender> lenders);
   void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
   void Avoid(const Lender& lender, const std::string& cause);
   // Checks whether a lender still answers, and avoids it if not. A statement
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -14,7 +14,9 @@
 constexpr absl::Duration kMaxWait = absl::Milliseconds(250);
 // With more requests waiting for a target, a new one is refused at once.
 constexpr size_t kMaxWaiting = 64;
-// Connections that are opened at the same time.
+// Of these, requests of one workspace, so that the others find room.
+constexpr size_t kMaxWaitingOfWorkspace = 16;
+// Connections that are opened at the same time for a workspace.
 constexpr size_t kMaxOpening = 2;
 // The upper bits of a loan's number identify the run of the instance.
 constexpr int kIncarnationShift = 32;
@@ -75,7 +77,12 @@
     return;
   }
   std::list<Request>& waiting = m_waiting[key];
-  if (waiting.size() >= kMaxWaiting) {
+  const size_t same_workspace = std::count_if(
+      waiting.begin(), waiting.end(), [&query](const Request& request) {
+        return request.query.workspace == query.workspace;
+      });
+  if (waiting.size() >= kMaxWaiting ||
+      (!query.workspace.empty() && same_workspace >= kMaxWaitingOfWorkspace)) {
     Refuse(answer, "too many requests wait for a connection",
            RunOutcome::kNoConnection);
     return;
@@ -101,24 +108,36 @@
     return;
   }
   TargetPool* const pool = m_find_pool(key.first, key.second);
-  while (pool != nullptr && !waiting->second.empty()) {
-    const WorkspaceName& workspace = waiting->second.front().query.workspace;
-    TargetConnection* const connection = pool->AcquireToLend(workspace);
-    if (connection == nullptr && pool->OwnOpenCount() == 0 && pool->AtLimit()) {
-      const Request request = std::move(waiting->second.front());
-      waiting->second.pop_front();
-      Refuse(request.answer, "the target accepts no connection",
-             RunOutcome::kNoConnection);
+  if (pool == nullptr) {
+    return;
+  }
+  // Workspaces whose oldest request found no connection; later ones wait too.
+  std::map<WorkspaceName, size_t> unserved;
+  std::list<Request>& requests = waiting->second;
+  for (auto entry = requests.begin(); entry != requests.end();) {
+    const auto request = entry++;
+    const WorkspaceName workspace = request->query.workspace;
+    const auto earlier = unserved.find(workspace);
+    if (earlier != unserved.end()) {
+      ++earlier->second;
       continue;
     }
-    if (connection == nullptr) {
-      pool->EnsureOpening(workspace,
-                          std::min(kMaxOpening, waiting->second.size()));
-      return;
+    TargetConnection* const connection = pool->AcquireToLend(workspace);
+    if (connection != nullptr) {
+      Request served = std::move(*request);
+      requests.erase(request);
+      StartLoan(connection, std::move(served));
+    } else if (pool->OwnOpenCount() == 0 && pool->AtLimit()) {
+      const Answer refused = std::move(request->answer);
+      requests.erase(request);
+      Refuse(refused, "the target accepts no connection",
+             RunOutcome::kNoConnection);
+    } else {
+      unserved[workspace] = 1;
     }
-    Request request = std::move(waiting->second.front());
-    waiting->second.pop_front();
-    StartLoan(connection, std::move(request));
+  }
+  for (const auto& [workspace, count] : unserved) {
+    pool->EnsureOpening(workspace, std::min(kMaxOpening, count));
   }
 }
 
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -254,7 +254,9 @@
   std::vector<BorrowingDriver::Lender> lenders;
   if (group->borrows) {
     for (const InstanceId& id : plan.lenders) {
-      lenders.push_back({id, view.Members().at(id).peer_address});
+      const MemberRow& lender = view.Members().at(id);
+      lenders.push_back(
+          {id, lender.peer_address, lender.data_centre == m_data_centre});
     }
   }
   m_borrowing->SetLenders(name, std::move(lenders));
@@ -283,7 +285,7 @@
   neighbours.reserve(ranked.size());
   for (const auto& [remote, hash, id] : ranked) {
     neighbours.push_back(
-        {id, m_leadership->View().Members().at(id).peer_address});
+        {id, m_leadership->View().Members().at(id).peer_address, !remote});
   }
   m_borrowing->SetNeighbours(name, std::move(neighbours));
 }
@@ -422,6 +424,20 @@
   ScheduleDispatch(pool->Target().group);
 }
 
+void Gateway::CountConnection(absl::string_view event) {
+  m_metrics->Count(absl::StrCat("target_connections/", event));
+}
+
+size_t Gateway::TargetConnections() const {
+  size_t count = 0;
+  for (const auto& [name, group] : m_groups) {
+    for (const auto& [id, pool] : group.pools) {
+      count += pool->OwnOpenCount();
+    }
+  }
+  return count;
+}
+
 void Gateway::ScheduleDispatch(const GroupName& name) {
   Group& group = m_groups[name];
   if (group.dispatch_scheduled) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -80,6 +80,9 @@
   // The newest position of the group's primary that this instance knows.
   LenderPosition NewestPosition(const GroupName& group);
 
+  // Connections of this instance itself that are open.
+  size_t TargetConnections() const;
+
   // The functions below are called by sessions.
 
   void AddSession(CallerSession* session);
@@ -126,6 +129,7 @@
 
   // PoolObserver:
   void OnPoolChanged(TargetPool* pool) override;
+  void CountConnection(absl::string_view event) override;
 
  private:
   struct Group {
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -80,6 +80,9 @@
       chosen = chosen == nullptr ? connection.get() : chosen;
       continue;
     }
+    if (MustYield(connection.get())) {
+      continue;
+    }
     if (connection->values == values && !connection->needs_reset) {
       chosen = connection.get();
       break;
@@ -91,6 +94,7 @@
   }
   if (chosen != nullptr) {
     chosen->busy = true;
+    m_share.OnAcquired(workspace);
   }
   return chosen;
 }
@@ -100,12 +104,14 @@
   for (const auto& connection : m_connections) {
     if (connection->open && !connection->busy &&
         connection->workspace == workspace && !connection->link->Borrowed() &&
+        !MustYield(connection.get()) &&
         (chosen == nullptr || connection->values.empty())) {
       chosen = connection.get();
     }
   }
   if (chosen != nullptr) {
     chosen->busy = true;
+    m_share.OnAcquired(workspace);
   }
   return chosen;
 }
@@ -136,15 +142,69 @@
   }
   const size_t limit =
       AtLimit() ? std::max<size_t>(1, m_guaranteed) : m_maximum;
-  size_t connections = 0;
+  while (opening < wanted_count && OpenShared(workspace, limit)) {
+    ++opening;
+  }
+}
+
+std::vector<SharedConnection> TargetPool::OwnConnections() const {
+  std::vector<SharedConnection> own;
   for (const auto& connection : m_connections) {
-    connections += connection->link->Borrowed() && m_guaranteed > 0 ? 0 : 1;
+    if (!connection->link->Borrowed() || m_guaranteed == 0) {
+      own.push_back({connection->workspace, connection->open, connection->busy,
+                     connection->opened_at, connection->state_changed_at});
+    }
   }
-  while (opening < wanted_count && connections < limit) {
-    Open(workspace, false);
-    ++opening;
-    ++connections;
+  return own;
+}
+
+TargetConnection* TargetPool::OwnConnection(size_t index) const {
+  for (const auto& connection : m_connections) {
+    if ((!connection->link->Borrowed() || m_guaranteed == 0) && index-- == 0) {
+      return connection.get();
+    }
   }
+  return nullptr;
+}
+
+bool TargetPool::MustYield(const TargetConnection* connection) const {
+  if (connection->link->Borrowed()) {
+    return false;
+  }
+  const std::vector<SharedConnection> own = OwnConnections();
+  for (size_t index = 0; index < own.size(); ++index) {
+    if (OwnConnection(index) == connection) {
+      return m_share.MustYield(index, own, m_maximum, m_loop->Now());
+    }
+  }
+  return false;
+}
+
+bool TargetPool::OpenShared(const WorkspaceName& workspace, size_t limit) {
+  const ConnectionShare::Choice choice =
+      m_share.Choose(workspace, OwnConnections(), limit, m_loop->Now());
+  switch (choice.action) {
+    case ConnectionShare::Action::kOpen:
+      break;
+    case ConnectionShare::Action::kReplace:
+      m_observer->CountConnection("replaced");
+      Remove(OwnConnection(choice.replaced));
+      break;
+    case ConnectionShare::Action::kWait:
+      if (choice.retry_after != absl::InfiniteDuration()) {
+        m_share_timer = m_loop->RunAfter(choice.retry_after, [this]() {
+          // The observer may replace this timer, so it runs later.
+          m_loop->Post([this, alive = m_alive]() {
+            if (*alive) {
+              m_observer->OnPoolChanged(this);
+            }
+          });
+        });
+      }
+      return false;
+  }
+  Open(workspace, false);
+  return true;
 }
 
 void TargetPool::BorrowOne(const WorkspaceName& workspace) {
@@ -161,6 +221,7 @@
   connection->workspace = workspace;
   connection->open = true;
   connection->state_changed_at = m_loop->Now();
+  connection->opened_at = connection->state_changed_at;
   connection->link =
       m_driver->Borrow(m_target, workspace,
                        [this, borrower, alive = m_alive](const Error& error) {
@@ -211,9 +272,14 @@
     m_consecutive_open_failures = 0;
     connection->open = true;
     connection->state_changed_at = now;
+    connection->opened_at = now;
+    if (!connection->link->Borrowed()) {
+      m_observer->CountConnection("opened");
+    }
   } else {
     const Error& error = ErrorOf(opened);
     if (error.kind == ErrorKind::kOverloaded) {
+      m_observer->CountConnection("refused");
       m_last_contact = now;
       m_over_limit_at = now;
       m_retry_at = now + kOverLimitRetryDelay;
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -13,10 +13,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "Source/decision/connection_share.h"
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/target_link.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
@@ -40,6 +43,7 @@
   absl::Time state_changed_at;
   // Called if the connection is lost while it is busy.
   std::function<void(const Error&)> on_lost;
+  absl::Time opened_at;
   // When the oldest unanswered command was sent.
   std::optional<absl::Time> unanswered_since;
 };
@@ -52,6 +56,8 @@
   // A connection became free, or one was opened, failed to open or was closed,
   // so that waiting statements should be dispatched again.
   virtual void OnPoolChanged(TargetPool* pool) = 0;
+  // Counts an event of a connection: opened, replaced or refused.
+  virtual void CountConnection(absl::string_view) {}
 };
 
 class TargetPool {
@@ -69,7 +75,8 @@
   void SetLimits(size_t guaranteed, size_t maximum);
 
   // Marks a free open connection of `workspace` busy and returns it, preferring
-  // one whose session values equal `values`. Returns null if none is free.
+  // one whose session values equal `values`. Returns null if none is free, or
+  // if the free ones must be left to another workspace.
   TargetConnection* Acquire(const WorkspaceName& workspace,
                             const SessionValues& values);
   // As Acquire(), but never returns a borrowed connection.
@@ -79,7 +86,8 @@
   // True if the target has refused a connection lately because of its limit.
   bool AtLimit() const;
   // Opens connections until `wanted_count` of `workspace` are being opened, as
-  // far as the limits allow.
+  // far as the limits allow. Idle connections of other workspaces may be closed
+  // for this.
   void EnsureOpening(const WorkspaceName& workspace, size_t wanted_count);
   void Release(TargetConnection* connection);
   // Closes the connection and notifies the observer later. The target rolls
@@ -122,12 +130,22 @@
   // at once.
   void BorrowOne(const WorkspaceName& workspace);
   void Remove(TargetConnection* connection);
+  // This instance's own connections in the form that ConnectionShare needs, in
+  // the order of m_connections.
+  std::vector<SharedConnection> OwnConnections() const;
+  // True if the free connection must be left to another workspace.
+  bool MustYield(const TargetConnection* connection) const;
+  // Opens a connection if ConnectionShare allows it.
+  bool OpenShared(const WorkspaceName& workspace, size_t limit);
+  TargetConnection* OwnConnection(size_t index) const;
 
   ListedTarget m_target;
   EventLoop* const m_loop;
   TargetDriver* const m_driver;
   PoolObserver* const m_observer;
   std::list<std::unique_ptr<TargetConnection>> m_connections;
+  ConnectionShare m_share;
+  std::unique_ptr<Timer> m_share_timer;
   size_t m_guaranteed = 1;
   size_t m_maximum = 1;
   absl::Time m_last_contact = absl::InfinitePast();
