--- a/Source/decision/lender_plan.cc
+++ b/Source/decision/lender_plan.cc
@@ -3,13 +3,12 @@
 #include "Source/decision/lender_plan.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
 
 #include "Source/base/hash.h"
+#include "Source/decision/weighted_rank.h"
 
 namespace heatherwick {
 namespace {
@@ -20,16 +19,6 @@
 // while connections of other lenders are free.
 constexpr size_t kMinConnections = 4;
 
-// Weighted rendezvous hashing: the chance to rank first grows with the square
-// of the capacity, since a weak machine also delays each statement more.
-double Score(const FleetMember& member, uint64_t seed) {
-  const double unit =
-      (static_cast<double>(StableHash(member.id, seed)) + 1) /
-      (static_cast<double>(std::numeric_limits<uint64_t>::max()) + 2);
-  const double weight = std::max<uint32_t>(1, member.capacity);
-  return -weight * weight / std::log(unit);
-}
-
 }  // namespace
 
 LenderPlan PlanLenders(const GroupName& group,
@@ -45,7 +34,7 @@
   std::map<DataCentreName, std::vector<Ranked>> data_centres;
   DataCentreName own_data_centre;
   for (const FleetMember& member : members) {
-    data_centres[member.data_centre].emplace_back(-Score(member, seed),
+    data_centres[member.data_centre].emplace_back(-WeightedScore(member, seed),
                                                   &member);
     if (member.id == self) {
       own_data_centre = member.data_centre;
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -33,7 +33,11 @@
 constexpr double kQueueTimeoutFraction = 0.7;
 
 // Starts the error text for callers whose statement did not run.
-constexpr char kRetryHint[] = "retry after 100 ms";
+std::string RetryHint(
+    absl::Duration retry_after = CallerSession::kDefaultRetryAfter) {
+  return absl::StrCat("retry after ", absl::ToInt64Milliseconds(retry_after),
+                      " ms");
+}
 
 }  // namespace
 
@@ -107,6 +111,7 @@
   m_timeout_timer.reset();
   m_slow_read_timer.reset();
   m_retry_timer.reset();
+  m_quota_ticket.reset();
   m_request.reset();
   m_statement_sent = false;
   m_last_activity = m_gateway->Loop()->Now();
@@ -155,14 +160,14 @@
       break;
     case AccessOutcome::kConfigurationStale:
       ReplyLocally(in_transaction ? ReplyCode::kAborted : ReplyCode::kBusy,
-                   absl::StrCat(kRetryHint,
+                   absl::StrCat(RetryHint(),
                                 "; the instance cannot read which keys are in "
                                 "force"));
       break;
     case AccessOutcome::kGranted:
-      ReplyLocally(
-          ReplyCode::kAborted,
-          absl::StrCat(kRetryHint, "; the key was moved to another workspace"));
+      ReplyLocally(ReplyCode::kAborted,
+                   absl::StrCat(RetryHint(),
+                                "; the key was moved to another workspace"));
       return false;
   }
   m_link->Close();
@@ -198,7 +203,7 @@
       statement.kind != StatementKind::kRollback) {
     m_in_transaction = false;
     ReplyLocally(ReplyCode::kAborted,
-                 absl::StrCat(kRetryHint, "; ",
+                 absl::StrCat(RetryHint(), "; ",
                               std::exchange(m_transaction_loss_cause, "")));
     return;
   }
@@ -276,6 +281,7 @@
   m_begun_at_target = false;
   m_wrote = false;
   m_transaction_answered = false;
+  m_transaction_admitted = false;
   m_transaction_route = *route;
   ReplyLocally(ReplyCode::kComplete, "");
 }
@@ -346,7 +352,29 @@
     SetUpConnection();
     return;
   }
-  m_gateway->Enqueue(this);
+  if (!m_gateway->HasQuota(m_workspace) ||
+      (m_in_transaction && m_transaction_admitted)) {
+    m_gateway->Enqueue(this);
+    return;
+  }
+  AdmitOperation();
+}
+
+void CallerSession::AdmitOperation() {
+  m_quota_ticket = m_gateway->Admit(
+      m_workspace, m_request->route.priority,
+      [this](const QuotaGate::Decision& decision) {
+        m_quota_ticket.reset();
+        if (!decision.admitted) {
+          Refuse(ReplyCode::kBusy,
+                 decision.used_up ? "the workspace's quota is used up"
+                                  : "the workspace's quota is not known now",
+                 decision.retry_after);
+          return;
+        }
+        m_transaction_admitted = m_in_transaction;
+        m_gateway->Enqueue(this);
+      });
 }
 
 void CallerSession::RunStatement(TargetConnection* connection,
@@ -631,18 +659,21 @@
       });
 }
 
-void CallerSession::Refuse(ReplyCode code, const std::string& cause) {
+void CallerSession::Refuse(ReplyCode code,
+                           const std::string& cause,
+                           absl::Duration retry_after) {
   LogDecision("refused", cause);
   m_gateway->GetMetrics()->Count("statements/refused");
   m_gateway->Dequeue(this);
   if (m_in_transaction) {
-    AbortTransaction(cause);
+    AbortTransaction(cause, retry_after);
     return;
   }
-  ReplyLocally(code, absl::StrCat(kRetryHint, "; ", cause));
+  ReplyLocally(code, absl::StrCat(RetryHint(retry_after), "; ", cause));
 }
 
-void CallerSession::AbortTransaction(const std::string& cause) {
+void CallerSession::AbortTransaction(const std::string& cause,
+                                     absl::Duration retry_after) {
   LogDecision("transaction_lost", cause);
   m_gateway->GetMetrics()->Count("statements/aborted");
   m_gateway->Dequeue(this);
@@ -651,7 +682,8 @@
   m_begun_at_target = false;
   m_transaction_failed = false;
   m_wrote = false;
-  ReplyLocally(ReplyCode::kAborted, absl::StrCat(kRetryHint, "; ", cause));
+  ReplyLocally(ReplyCode::kAborted,
+               absl::StrCat(RetryHint(retry_after), "; ", cause));
 }
 
 void CallerSession::OnConnectionLost(const Error& error) {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -12,6 +12,7 @@
 
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
+#include "Source/gateway/quota/quota_gate.h"
 #include "Source/gateway/statement.h"
 #include "Source/gateway/target_pool.h"
 #include "absl/strings/string_view.h"
@@ -54,6 +55,8 @@
 
 class CallerSession {
  public:
+  static constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(100);
+
   // `key` identifies the caller's workspace; it may be empty.
   CallerSession(Gateway* gateway,
                 std::string database,
@@ -88,7 +91,10 @@
   void RunStatement(TargetConnection* connection,
                     std::optional<Position> required,
                     bool at_primary);
-  void Refuse(ReplyCode code, const std::string& cause);
+  // `retry_after` tells the caller when to come back.
+  void Refuse(ReplyCode code,
+              const std::string& cause,
+              absl::Duration retry_after = kDefaultRetryAfter);
   // Ends the open transaction and the statement in flight, because their target
   // may no longer be used.
   void StopUsingTarget(const std::string& cause);
@@ -115,6 +121,9 @@
   void Begin(const Statement& statement);
   void Rollback();
   void Submit(Statement statement);
+  // Asks for the operation's place in the workspace's quota, then enqueues the
+  // statement.
+  void AdmitOperation();
   void SetUpConnection();
   void ContinueAfterSetup(size_t pending);
   void SendBegin();
@@ -126,7 +135,8 @@
   void OnSlowRead();
   void Requeue(const std::string& cause);
   // Drops the connection and tells the caller that the transaction was aborted.
-  void AbortTransaction(const std::string& cause);
+  void AbortTransaction(const std::string& cause,
+                        absl::Duration retry_after = kDefaultRetryAfter);
   void ReleaseConnection();
   void DropConnection();
   bool CommitInFlight() const;
@@ -161,6 +171,10 @@
   absl::Time m_last_activity;
   Route m_transaction_route;
 
+  // The open transaction has been counted against the workspace's quota.
+  bool m_transaction_admitted = false;
+  // Set while the statement waits for the workspace's quota.
+  std::unique_ptr<QuotaGate::Ticket> m_quota_ticket;
   std::optional<TargetRequest> m_request;
   TargetConnection* m_connection = nullptr;
   // The statement itself was sent, not only its session setup.
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -124,8 +124,20 @@
 void Gateway::UpdateAccess() {
   if (!m_configuration.has_workspaces) {
     m_access.AdmitAll();
+    if (m_quota != nullptr) {
+      m_quota->OnQuotas({});
+    }
     return;
   }
+  if (m_quota != nullptr) {
+    std::map<WorkspaceName, WorkspaceQuota> quotas;
+    for (const auto& [name, workspace] : m_configuration.workspaces) {
+      if (workspace.quota) {
+        quotas.emplace(name, *workspace.quota);
+      }
+    }
+    m_quota->OnQuotas(std::move(quotas));
+  }
   absl::flat_hash_map<std::string, WorkspaceName> keys;
   for (const auto& [name, workspace] : m_configuration.workspaces) {
     for (const std::string& key : workspace.keys) {
@@ -243,10 +255,7 @@
   }
   group->planned_limit = limit;
   group->planned_revision = view.MembersRevision();
-  std::vector<FleetMember> members;
-  for (const auto& [id, member] : view.Members()) {
-    members.push_back({id, member.data_centre, member.capacity});
-  }
+  std::vector<FleetMember> members = Members();
   group->lender_plan = PlanLenders(name, members, limit, m_leadership->Self());
   const LenderPlan& plan = group->lender_plan;
   group->lends = plan.self_lends;
@@ -290,6 +299,38 @@
   m_borrowing->SetNeighbours(name, std::move(neighbours));
 }
 
+bool Gateway::MembersRead() const {
+  return m_leadership->View().AsOf() != absl::InfinitePast();
+}
+
+uint64_t Gateway::MembersRevision() const {
+  return m_leadership->View().MembersRevision();
+}
+
+std::vector<FleetMember> Gateway::Members() const {
+  std::vector<FleetMember> members;
+  for (const auto& [id, member] : m_leadership->View().Members()) {
+    members.push_back({id, member.data_centre, member.capacity});
+  }
+  return members;
+}
+
+std::string Gateway::PeerAddress(const InstanceId& id) const {
+  const auto& members = m_leadership->View().Members();
+  const auto found = members.find(id);
+  return found == members.end() ? "" : found->second.peer_address;
+}
+
+bool Gateway::HasRowOfEarlierRun() const {
+  const auto& members = m_leadership->View().Members();
+  const auto found = members.find(m_leadership->Self());
+  return found != members.end() && !m_leadership->View().OwnRowPresent();
+}
+
+bool Gateway::LeaseValid() const {
+  return m_leadership->LeaseValid();
+}
+
 TargetPool* Gateway::PoolToLend(const GroupName& group,
                                 const TargetId& target) {
   const auto found = m_groups.find(group);
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -23,11 +23,12 @@
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/leadership_manager.h"
 #include "Source/gateway/primary_position_history.h"
+#include "Source/gateway/quota/quota_gate.h"
 #include "Source/gateway/target_pool.h"
 
 namespace heatherwick {
 
-class Gateway : public GroupAccess, public PoolObserver {
+class Gateway : public GroupAccess, public PoolObserver, public QuotaFleetView {
  public:
   Gateway(DataCentreName data_centre,
           EventLoop* loop,
@@ -40,6 +41,9 @@
   // Shares the connections of groups whose targets have too few for each
   // instance. Without this, such groups get a connection for each statement.
   void SetLending(BorrowingDriver* borrowing, ConnectionLender* lender);
+  // Limits the operations of workspaces that have quotas. Without this, they
+  // are not limited.
+  void SetQuotaGate(QuotaGate* quota) { m_quota = quota; }
   void Start();
 
   // Applies the configuration if its version is newer than the current one.
@@ -87,6 +91,15 @@
 
   void AddSession(CallerSession* session);
   void RemoveSession(CallerSession* session);
+  // True if operations of the workspace have to be admitted by its quota.
+  bool HasQuota(const WorkspaceName& workspace) const {
+    return m_quota != nullptr && m_quota->Limits(workspace);
+  }
+  std::unique_ptr<QuotaGate::Ticket> Admit(const WorkspaceName& workspace,
+                                           int priority,
+                                           QuotaGate::OnDecision done) {
+    return m_quota->Admit(workspace, priority, std::move(done));
+  }
   void Enqueue(CallerSession* session);
   void Dequeue(CallerSession* session);
   bool MayAcknowledge(const TargetPool* pool) const;
@@ -131,6 +144,14 @@
   void OnPoolChanged(TargetPool* pool) override;
   void CountConnection(absl::string_view event) override;
 
+  // QuotaFleetView:
+  bool MembersRead() const override;
+  uint64_t MembersRevision() const override;
+  std::vector<FleetMember> Members() const override;
+  std::string PeerAddress(const InstanceId& id) const override;
+  bool HasRowOfEarlierRun() const override;
+  bool LeaseValid() const override;
+
  private:
   struct Group {
     std::map<TargetId, std::unique_ptr<TargetPool>> pools;
@@ -191,6 +212,7 @@
   LeadershipManager* m_leadership = nullptr;
   BorrowingDriver* m_borrowing = nullptr;
   ConnectionLender* m_lender = nullptr;
+  QuotaGate* m_quota = nullptr;
   Configuration m_configuration;
   WorkspaceAccess m_access;  // Has the keys of m_configuration.
   std::map<GroupName, Group> m_groups;
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -275,6 +275,7 @@
           static_cast<proto::QuotaReply::Outcome>(answer.outcome));
       reply->set_granted(answer.granted);
       reply->set_retry_after_us(absl::ToInt64Microseconds(answer.retry_after));
+      reply->set_left(answer.left);
       reactor->Finish(grpc::Status::OK);
     });
     return reactor;
@@ -640,9 +641,9 @@
                      "check that all instances run compatible versions"});
           return;
         }
-        done(QuotaResponse{static_cast<QuotaOutcome>(reply.outcome()),
-                           reply.granted(),
-                           absl::Microseconds(reply.retry_after_us())});
+        done(QuotaResponse{
+            static_cast<QuotaOutcome>(reply.outcome()), reply.granted(),
+            absl::Microseconds(reply.retry_after_us()), reply.left()});
       });
 }
 
--- /dev/null
+++ b/Tests/decision/quota_test.cc
@@ -0,0 +1,116 @@
+// Guards against quotas that refuse callers below the limit, stop with one
+// instance, or are asked for more often than a workspace's load justifies.
+
+#include <random>
+#include <set>
+
+#include "Source/decision/quota_plan.h"
+#include "Tests/decision/quota_fleet.h"
+#include "absl/strings/str_cat.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+class QuotaFixture {
+ protected:
+  // Plays `seconds` of random arrivals; instance 0 gets half of them.
+  static void PlayUneven(QuotaFleet* fleet, double per_s, int seconds) {
+    std::mt19937 random(7);
+    std::exponential_distribution<double> gap(per_s);
+    double next = 0;
+    for (double now = 0; now < seconds; now = next) {
+      next += gap(random);
+      fleet->RunFor(absl::Seconds(next - now));
+      fleet->Arrive(fleet->Below(2) == 0
+                        ? 0
+                        : static_cast<int>(fleet->Below(fleet->Instances())));
+    }
+    fleet->RunFor(absl::Seconds(1));
+  }
+  static double RefusedShare(const QuotaFleet& fleet) {
+    return static_cast<double>(fleet.Refused()) /
+           static_cast<double>(fleet.Refused() + fleet.Admitted());
+  }
+  static std::vector<FleetMember> Members(int count, int data_centres) {
+    std::vector<FleetMember> members;
+    for (int i = 0; i < count; ++i) {
+      members.push_back(
+          {absl::StrCat("i", i), absl::StrCat("z", i % data_centres), 10});
+    }
+    return members;
+  }
+};
+
+TEST_CASE_FIXTURE(QuotaFixture,
+                  "QuotaPlan_ManyMembers_OneShardEachDataCentre") {
+  for (const int data_centres : {1, 3, 4, 7}) {
+    const auto shards = PlanQuota("w", Members(40, data_centres));
+    std::set<InstanceId> coordinators;
+    std::set<DataCentreName> covered;
+    for (const QuotaShard& shard : shards) {
+      coordinators.insert(shard.coordinator);
+      covered.insert(shard.data_centre);
+    }
+    CHECK(shards.size() == std::max(4, data_centres));
+    CHECK(coordinators.size() == shards.size());
+    CHECK(covered.size() == static_cast<size_t>(data_centres));
+  }
+  CHECK(PlanQuota("w", Members(2, 2)).size() == 2);
+  CHECK(PlanQuota("w", {}).empty());
+}
+
+TEST_CASE_FIXTURE(QuotaFixture, "Quota_NearlyUsedUnevenly_FewAreRefused") {
+  QuotaFleet fleet({.quota = {200, 200}});
+  fleet.RunFor(absl::Seconds(5));
+  PlayUneven(&fleet, 190, 60);
+  CHECK(RefusedShare(fleet) <= 0.01);
+  CHECK(fleet.WorstExcess() <= 0);
+}
+
+// Most workspaces are that small.
+TEST_CASE_FIXTURE(QuotaFixture, "Quota_SmallAndNearlyUsed_FewAreRefused") {
+  QuotaFleet fleet({.quota = {5, 5}});
+  fleet.RunFor(absl::Seconds(5));
+  PlayUneven(&fleet, 4.75, 600);
+  CHECK(RefusedShare(fleet) <= 0.01);
+  CHECK(fleet.WorstExcess() <= 0);
+}
+
+TEST_CASE_FIXTURE(QuotaFixture, "Quota_SevenTimesTheUsual_RateIsUsedInFull") {
+  QuotaFleet fleet({.quota = {100, 100}});
+  fleet.RunFor(absl::Seconds(5));
+  PlayUneven(&fleet, 470, 20);
+  CHECK(fleet.WorstExcess() <= 0);
+  CHECK(fleet.Admitted() >= 20 * 100);
+}
+
+// The usual load is 1 / 1.6 of the quota, which the other shards can carry.
+TEST_CASE_FIXTURE(QuotaFixture, "Quota_OneCoordinatorDead_UsualLoadIsServed") {
+  QuotaFleet fleet({.quota = {160, 160}});
+  fleet.RunFor(absl::Seconds(5));
+  const auto shards = PlanQuota(kQuotaWorkspace, Members(8, 4));
+  fleet.Kill(std::stoi(shards[1].coordinator.substr(1)));
+  PlayUneven(&fleet, 100, 10);
+  CHECK(RefusedShare(fleet) <= 0.01);
+}
+
+// After a loss of power all callers return at once.
+TEST_CASE_FIXTURE(QuotaFixture, "Quota_AllRestart_CallersAreServedAtOnce") {
+  QuotaFleet fleet({.quota = {160, 160}});
+  fleet.RunFor(absl::Seconds(5));
+  for (int i = 0; i < fleet.Instances(); ++i) {
+    fleet.Kill(i);
+  }
+  fleet.RunFor(absl::Seconds(1));
+  for (int i = 0; i < fleet.Instances(); ++i) {
+    fleet.Restart(i);
+  }
+  fleet.RunFor(absl::Milliseconds(100));
+  const size_t before = fleet.Admitted();
+  PlayUneven(&fleet, 100, 1);
+  CHECK(fleet.Admitted() - before >= 90);
+}
+
+}  // namespace
+}  // namespace heatherwick
