--- a/Source/decision/connection_share.cc
+++ b/Source/decision/connection_share.cc
@@ -74,19 +74,23 @@
   return {Action::kReplace, *idle_longest};
 }
 
+bool ConnectionShare::OthersWait(const WorkspaceName& workspace,
+                                 absl::Time now) const {
+  return std::any_of(
+      m_waiting.begin(), m_waiting.end(), [&workspace, now](const auto& entry) {
+        return entry.first != workspace &&
+               now - entry.second.last_attempt < kAttemptLifetime &&
+               now - entry.second.since >= kPatience;
+      });
+}
+
 bool ConnectionShare::MustYield(
     size_t index,
     const std::vector<SharedConnection>& connections,
     size_t limit,
     absl::Time now) const {
   const SharedConnection& free = connections[index];
-  const bool others_wait = std::any_of(
-      m_waiting.begin(), m_waiting.end(), [&free, now](const auto& entry) {
-        return entry.first != free.workspace &&
-               now - entry.second.last_attempt < kAttemptLifetime &&
-               now - entry.second.since >= kPatience;
-      });
-  if (!others_wait || connections.size() < limit) {
+  if (!OthersWait(free.workspace, now) || connections.size() < limit) {
     return false;
   }
   const size_t share = std::max<size_t>(
--- a/Source/decision/connection_share.h
+++ b/Source/decision/connection_share.h
@@ -62,6 +62,8 @@
                  const std::vector<SharedConnection>& connections,
                  size_t limit,
                  absl::Time now) const;
+  // True if another workspace waits; without this, nothing must be yielded.
+  bool OthersWait(const WorkspaceName& workspace, absl::Time now) const;
   // A statement of the workspace got a connection.
   void OnAcquired(const WorkspaceName& workspace) {
     m_waiting.erase(workspace);
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -168,7 +168,8 @@
 }
 
 bool TargetPool::MustYield(const TargetConnection* connection) const {
-  if (connection->link->Borrowed()) {
+  if (connection->link->Borrowed() ||
+      !m_share.OthersWait(connection->workspace, m_loop->Now())) {
     return false;
   }
   const std::vector<SharedConnection> own = OwnConnections();
