--- a/Source/decision/quota_requester.cc
+++ b/Source/decision/quota_requester.cc
@@ -14,6 +14,9 @@
 // each failure.
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(4);
+// If no coordinator can be asked, those that did not answer are tried this
+// often all the same. An instance that is cut off must not call without pause.
+constexpr absl::Duration kRetryAvoided = absl::Milliseconds(100);
 // An instance that says that it does not coordinate the shard has another view
 // of the members, or starts to coordinate it soon.
 constexpr absl::Duration kDisagreementDelay = absl::Milliseconds(200);
@@ -138,7 +141,7 @@
 }
 
 std::optional<uint32_t> QuotaRequester::ChooseShard(Workspace* workspace,
-                                                    absl::Time now) const {
+                                                    absl::Time now) {
   std::optional<uint32_t> chosen;
   double most_left = 0;
   for (const uint32_t number : workspace->order) {
@@ -158,7 +161,27 @@
       most_left = left;
     }
   }
-  return chosen;
+  return chosen ? chosen : ChooseAvoided(workspace, now);
+}
+
+std::optional<uint32_t> QuotaRequester::ChooseAvoided(Workspace* workspace,
+                                                      absl::Time now) {
+  for (const uint32_t number : workspace->order) {
+    const Shard& shard = workspace->shards[number];
+    if (shard.used_up && shard.blocked_until > now) {
+      return std::nullopt;
+    }
+  }
+  for (const uint32_t number : workspace->order) {
+    const auto avoided = m_avoided.find(workspace->planned[number].coordinator);
+    if (avoided != m_avoided.end() &&
+        workspace->shards[number].blocked_until <= now &&
+        now - avoided->second.tried >= kRetryAvoided) {
+      avoided->second.tried = now;
+      return number;
+    }
+  }
+  return std::nullopt;
 }
 
 void QuotaRequester::RefuseWaiting(Workspace* workspace,
@@ -211,6 +234,7 @@
       avoided.duration =
           std::clamp(2 * avoided.duration, kFirstAvoidance, kLongestAvoidance);
       avoided.until = now + avoided.duration;
+      avoided.tried = now;
     }
     Ask(query.workspace, &workspace, now, actions);
     return;
--- a/Source/decision/quota_requester.h
+++ b/Source/decision/quota_requester.h
@@ -102,6 +102,7 @@
   struct Avoided {
     absl::Time until = absl::InfinitePast();
     absl::Duration duration;
+    absl::Time tried;
   };
 
   Workspace& Planned(const WorkspaceName& name);
@@ -111,10 +112,11 @@
            absl::Time now,
            QuotaActions* actions);
   // The shard to ask: the first in order that has enough left, otherwise the
-  // one with the most left. Nothing if all are blocked. Asking in order alone
-  // would leave the last shards full, and what a full shard is given is lost.
-  std::optional<uint32_t> ChooseShard(Workspace* workspace,
-                                      absl::Time now) const;
+  // one with the most left. Asking in order alone would leave the last shards
+  // full, and what a full shard is given is lost.
+  std::optional<uint32_t> ChooseShard(Workspace* workspace, absl::Time now);
+  // Of the shards whose coordinators did not answer, one to try again.
+  std::optional<uint32_t> ChooseAvoided(Workspace* workspace, absl::Time now);
   absl::Time BlockedUntil(const Workspace& workspace, uint32_t shard) const;
   // Refuses the waiting operations but the few that a shard can soon serve.
   void RefuseWaiting(Workspace* workspace,
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -370,6 +370,10 @@
                  decision.used_up ? "the workspace's quota is used up"
                                   : "the workspace's quota is not known now",
                  decision.retry_after);
+          if (!decision.used_up) {
+            // Another instance may reach the coordinators.
+            CloseIdle();
+          }
           return;
         }
         m_transaction_admitted = m_in_transaction;
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -334,7 +334,7 @@
 
 std::shared_ptr<grpc::Channel> GrpcPeerTransport::ChannelTo(
     const std::string& address) {
-  std::shared_ptr<grpc::Channel>& channel = m_channels[address];
+  std::shared_ptr<grpc::Channel>& channel = m_channels[address].channel;
   if (!channel) {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
@@ -352,15 +352,19 @@
   return channel;
 }
 
-void GrpcPeerTransport::Retire(const std::string& address) {
+void GrpcPeerTransport::OnMissedDeadline(
+    const std::string& address,
+    const std::shared_ptr<grpc::Channel>& channel,
+    absl::Time sent) {
   const absl::Time now = m_loop->Now();
   while (!m_retired.empty() &&
          now - m_retired.front().first > kRetiredChannelLifetime) {
     m_retired.pop_front();
   }
   const auto found = m_channels.find(address);
-  if (found != m_channels.end()) {
-    m_retired.emplace_back(now, std::move(found->second));
+  if (found != m_channels.end() && found->second.channel == channel &&
+      found->second.last_answer < sent) {
+    m_retired.emplace_back(now, std::move(found->second.channel));
     m_channels.erase(found);
   }
 }
@@ -372,13 +376,17 @@
                               absl::Duration timeout,
                               std::function<void(Result<Reply>)> done) {
   struct Call {
+    std::shared_ptr<grpc::Channel> channel;
     std::unique_ptr<proto::Leadership::Stub> stub;
+    absl::Time sent;
     grpc::ClientContext context;
     Request request;
     Reply reply;
   };
   auto call = std::make_shared<Call>();
-  call->stub = proto::Leadership::NewStub(ChannelTo(address));
+  call->channel = ChannelTo(address);
+  call->stub = proto::Leadership::NewStub(call->channel);
+  call->sent = m_loop->Now();
   call->context.set_deadline(GrpcDeadlineIn(timeout));
   call->request = std::move(request);
   Call* const raw = call.get();
@@ -390,12 +398,15 @@
             return;
           }
           if (status.ok()) {
+            const auto channel = m_channels.find(address);
+            if (channel != m_channels.end()) {
+              channel->second.last_answer = m_loop->Now();
+            }
             done(std::move(call->reply));
             return;
           }
           if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
-            // The connection may be broken, so the next call opens a new one.
-            Retire(address);
+            OnMissedDeadline(address, call->channel, call->sent);
           }
           const bool refused =
               absl::StrContains(status.error_message(), "refused");
--- a/Source/gateway/grpc_peer_transport.h
+++ b/Source/gateway/grpc_peer_transport.h
@@ -79,9 +79,18 @@
   class Service;
 
   std::shared_ptr<grpc::Channel> ChannelTo(const std::string& address);
-  // Drops the channel to `address`, so that the next call opens a new
-  // connection.
-  void Retire(const std::string& address);
+  struct PeerChannel {
+    std::shared_ptr<grpc::Channel> channel;
+    absl::Time last_answer = absl::InfinitePast();
+  };
+
+  // A call over `channel` that was sent at `sent` was not answered in time.
+  // Drops the channel, so that the next call opens a new connection, unless it
+  // was replaced already, or answered other calls since: then the peer is slow,
+  // and a new connection would add to its load.
+  void OnMissedDeadline(const std::string& address,
+                        const std::shared_ptr<grpc::Channel>& channel,
+                        absl::Time sent);
   // Starts a call of the Leadership service; `done` runs on the loop.
   template <typename Request, typename Reply, typename Method>
   void Start(const std::string& address,
@@ -94,7 +103,7 @@
   const Responders m_responders;
   std::unique_ptr<Service> m_service;
   std::unique_ptr<grpc::Server> m_server;
-  std::map<std::string, std::shared_ptr<grpc::Channel>> m_channels;
+  std::map<std::string, PeerChannel> m_channels;
   // Channels that stopped answering, and when they were dropped. They are
   // destroyed only long after their last call, because gRPC 1.51 crashes when
   // the end of a call destroys the call's own channel.
--- a/Tests/decision/quota_test.cc
+++ b/Tests/decision/quota_test.cc
@@ -95,6 +95,58 @@
   CHECK(RefusedShare(fleet) <= 0.01);
 }
 
+// An instance that reaches no coordinator must refuse at once, and must not
+// call them without pause.
+TEST_CASE_FIXTURE(QuotaFixture,
+                  "Quota_NoCoordinatorReachable_FewCallsAreMade") {
+  QuotaRequester requester("self", "z0");
+  requester.OnMembers(Members(8, 4));
+  absl::Time now = absl::UnixEpoch();
+  size_t calls = 0;
+  size_t refused = 0;
+  for (QuotaTicket ticket = 1; ticket <= 1000; ++ticket) {
+    now += absl::Milliseconds(1);
+    QuotaActions actions;
+    requester.Admit("w", ticket, 0, now, &actions);
+    while (!actions.calls.empty()) {
+      const QuotaQuery query = actions.calls.back().query;
+      actions.calls.pop_back();
+      ++calls;
+      requester.OnAnswer(query, std::nullopt, now, &actions);
+    }
+    refused += actions.refused.size();
+    CHECK(actions.admitted.empty());
+  }
+  CHECK(refused == 1000);
+  CHECK(calls <= 4 * 11);
+}
+
+// An instance that reaches no coordinator must refuse at once, and must not
+// call them without pause.
+TEST_CASE_FIXTURE(QuotaFixture,
+                  "Quota_NoCoordinatorReachable_FewCallsAreMade") {
+  QuotaRequester requester("self", "z0");
+  requester.OnMembers(Members(8, 4));
+  absl::Time now = absl::UnixEpoch();
+  size_t calls = 0;
+  size_t refused = 0;
+  for (QuotaTicket ticket = 1; ticket <= 1000; ++ticket) {
+    now += absl::Milliseconds(1);
+    QuotaActions actions;
+    requester.Admit("w", ticket, 0, now, &actions);
+    while (!actions.calls.empty()) {
+      const QuotaQuery query = actions.calls.back().query;
+      actions.calls.pop_back();
+      ++calls;
+      requester.OnAnswer(query, std::nullopt, now, &actions);
+    }
+    refused += actions.refused.size();
+    CHECK(actions.admitted.empty());
+  }
+  CHECK(refused == 1000);
+  CHECK(calls <= 4 * 11);
+}
+
 // After a loss of power all callers return at once.
 TEST_CASE_FIXTURE(QuotaFixture, "Quota_AllRestart_CallersAreServedAtOnce") {
   QuotaFleet fleet({.quota = {160, 160}});
