--- a/Source/decision/quota_requester.cc
+++ b/Source/decision/quota_requester.cc
@@ -187,6 +187,22 @@
   }
 }
 
+void QuotaRequester::CountFailure(const QuotaQuery& query,
+                                  Workspace* workspace,
+                                  QuotaActions* actions) {
+  std::vector<Waiting>& waiting = workspace->waiting;
+  for (size_t index = 0; index < waiting.size(); ++index) {
+    waiting[index].failures += index < query.count ? 1 : 0;
+  }
+  std::erase_if(waiting, [workspace, actions](const Waiting& entry) {
+    const bool refused = entry.failures >= workspace->planned.size();
+    if (refused) {
+      actions->refused.push_back({entry.ticket, kNoShardRetry, false});
+    }
+    return refused;
+  });
+}
+
 void QuotaRequester::OnTime(absl::Time now, QuotaActions* actions) {
   for (auto& [name, workspace] : m_workspaces) {
     if (!workspace.waiting.empty()) {
@@ -212,6 +228,7 @@
           std::clamp(2 * avoided.duration, kFirstAvoidance, kLongestAvoidance);
       avoided.until = now + avoided.duration;
     }
+    CountFailure(query, &workspace, actions);
     Ask(query.workspace, &workspace, now, actions);
     return;
   }
@@ -222,6 +239,7 @@
   shard.answered = now;
   if (response->outcome != QuotaOutcome::kAnswered) {
     shard.blocked_until = now + kDisagreementDelay;
+    CountFailure(query, &workspace, actions);
   } else if (response->granted < query.count) {
     shard.blocked_until = now + response->retry_after;
     shard.used_up = true;
--- a/Source/decision/quota_requester.h
+++ b/Source/decision/quota_requester.h
@@ -77,6 +77,7 @@
     int priority = 0;
     QuotaTicket ticket = 0;  // Tickets increase with time.
     absl::Time arrived;
+    size_t failures = 0;  // Calls for it that no coordinator answered.
     bool operator<(const Waiting& other) const {
       return std::tie(priority, ticket) <
              std::tie(other.priority, other.ticket);
@@ -116,6 +117,12 @@
   std::optional<uint32_t> ChooseShard(Workspace* workspace,
                                       absl::Time now) const;
   absl::Time BlockedUntil(const Workspace& workspace, uint32_t shard) const;
+  // A call failed. Refuses the operations for which as many calls failed as
+  // there are shards; shards that are avoided only for a while could otherwise
+  // be asked in turn until the callers' deadlines.
+  static void CountFailure(const QuotaQuery& query,
+                           Workspace* workspace,
+                           QuotaActions* actions);
   // Refuses the waiting operations but the few that a shard can soon serve.
   void RefuseWaiting(Workspace* workspace,
                      absl::Time now,
--- a/Source/gateway/quota/quota_gate.cc
+++ b/Source/gateway/quota/quota_gate.cc
@@ -55,6 +55,13 @@
 }
 
 void QuotaGate::FollowMembers() {
+  UpdateMembers();
+  m_members_timer =
+      m_loop->RunAfter(m_members_known ? kMembersPoll : kFirstViewPoll,
+                       [this]() { FollowMembers(); });
+}
+
+void QuotaGate::UpdateMembers() {
   if (m_fleet->MembersRead() &&
       (!m_members_known || m_members_revision != m_fleet->MembersRevision())) {
     const bool restarted = !m_members_known && m_fleet->HasRowOfEarlierRun();
@@ -66,13 +73,17 @@
     m_coordinator.OnMembers(m_fleet->Members(), restarted, m_loop->Now());
     m_requester.OnMembers(m_fleet->Members());
   }
-  m_members_timer =
-      m_loop->RunAfter(m_members_known ? kMembersPoll : kFirstViewPoll,
-                       [this]() { FollowMembers(); });
 }
 
 void QuotaGate::OnQuotas(std::map<WorkspaceName, WorkspaceQuota> quotas) {
   m_quotas = quotas;
+  // Coordinators refuse operations of a workspace that has no quota any more.
+  for (const auto& [ticket, waiting] : m_waiting) {
+    if (!m_quotas.contains(waiting.workspace)) {
+      m_requester.Cancel(waiting.workspace, ticket);
+      Decide(ticket, {true, absl::ZeroDuration(), false});
+    }
+  }
   m_coordinator.OnQuotas(std::move(quotas));
 }
 
@@ -81,7 +92,7 @@
     int priority,
     OnDecision done) {
   const QuotaTicket number = m_next_ticket++;
-  m_waiting[number] = std::move(done);
+  m_waiting[number] = {workspace, std::move(done)};
   auto ticket = std::make_unique<Ticket>(this, workspace, number);
   QuotaActions actions;
   m_requester.Admit(workspace, number, priority, m_loop->Now(), &actions);
@@ -96,6 +107,9 @@
 }
 
 QuotaResponse QuotaGate::OnQuery(const QuotaQuery& query) {
+  // The lease is that of the newest view, so that an older one must not be used
+  // under it.
+  UpdateMembers();
   return m_coordinator.OnQuery(query, m_fleet->LeaseValid(), m_loop->Now());
 }
 
@@ -139,7 +153,7 @@
     if (found == m_waiting.end()) {
       return;
     }
-    const OnDecision done = std::move(found->second);
+    const OnDecision done = std::move(found->second.done);
     m_waiting.erase(found);
     done(decision);
   });
--- a/Source/gateway/quota/quota_gate.h
+++ b/Source/gateway/quota/quota_gate.h
@@ -92,7 +92,13 @@
   QuotaResponse OnQuery(const QuotaQuery& query);
 
  private:
+  struct Waiting {
+    WorkspaceName workspace;
+    OnDecision done;
+  };
+
   void FollowMembers();
+  void UpdateMembers();
   void Carry(const QuotaActions& actions);
   void Call(const QuotaActions::Call& call);
   void Decide(QuotaTicket ticket, const Decision& decision);
@@ -106,7 +112,7 @@
   QuotaCoordinator m_coordinator;
   QuotaRequester m_requester;
   std::map<WorkspaceName, WorkspaceQuota> m_quotas;
-  std::map<QuotaTicket, OnDecision> m_waiting;
+  std::map<QuotaTicket, Waiting> m_waiting;
   QuotaTicket m_next_ticket = 1;
   bool m_members_known = false;
   uint64_t m_members_revision = 0;
