--- a/Source/decision/connection_share.cc
+++ b/Source/decision/connection_share.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 
 namespace heatherwick {
 namespace {
@@ -16,27 +15,23 @@
 // A workspace is taken to wait for this long after its last attempt. Attempts
 // are repeated with each event of the pool, and each 50 ms.
 constexpr absl::Duration kAttemptLifetime = absl::Milliseconds(120);
-// If there are fewer connections than active workspaces, a connection is used
-// for this long before it is given up, so that targets do not spend most of
-// their time on opening connections.
+// A connection is used for this long before it is given up to a workspace that
+// holds only one fewer, so that targets do not spend most of their time on
+// opening connections.
 constexpr absl::Duration kMinUse = absl::Milliseconds(100);
 
+size_t Held(const WorkspaceName& workspace,
+            const std::vector<SharedConnection>& connections) {
+  return std::count_if(connections.begin(), connections.end(),
+                       [&workspace](const SharedConnection& connection) {
+                         return connection.workspace == workspace;
+                       });
+}
+
 }  // namespace
 
-size_t ConnectionShare::Active(const std::vector<SharedConnection>& connections,
-                               absl::Time now) const {
-  std::set<WorkspaceName> active;
-  for (const SharedConnection& connection : connections) {
-    if (connection.busy || !connection.open) {
-      active.insert(connection.workspace);
-    }
-  }
-  for (const auto& [workspace, wait] : m_waiting) {
-    if (now - wait.last_attempt < kAttemptLifetime) {
-      active.insert(workspace);
-    }
-  }
-  return active.size();
+bool ConnectionShare::Waits(const Wait& wait, absl::Time now) {
+  return now - wait.last_attempt < kAttemptLifetime;
 }
 
 ConnectionShare::Choice ConnectionShare::Choose(
@@ -44,28 +39,39 @@
     const std::vector<SharedConnection>& connections,
     size_t limit,
     absl::Time now) {
-  std::erase_if(m_waiting, [now](const auto& entry) {
-    return now - entry.second.last_attempt >= kAttemptLifetime;
-  });
+  std::erase_if(m_waiting,
+                [now](const auto& entry) { return !Waits(entry.second, now); });
   Wait& wait = m_waiting.try_emplace(workspace, Wait{now, now}).first->second;
   wait.last_attempt = now;
   if (connections.size() < limit) {
     return {Action::kOpen};
   }
-  size_t held = 0;
+  bool own_is_idle = false;
   std::optional<size_t> idle_longest;
   for (size_t index = 0; index < connections.size(); ++index) {
     const SharedConnection& connection = connections[index];
+    if (!connection.open || connection.busy) {
+      continue;
+    }
     if (connection.workspace == workspace) {
-      ++held;
-    } else if (connection.open && !connection.busy &&
-               (!idle_longest || connection.idle_since <
-                                     connections[*idle_longest].idle_since)) {
+      own_is_idle = true;
+    } else if (!idle_longest ||
+               connection.idle_since < connections[*idle_longest].idle_since) {
       idle_longest = index;
     }
   }
   if (!idle_longest) {
-    return {};
+    // A connection of its own that it left to another workspace may not be
+    // taken, as that one may have given up.
+    return {Action::kWait, 0,
+            own_is_idle ? kPatience : absl::InfiniteDuration()};
+  }
+  const size_t held = Held(workspace, connections);
+  const bool another_holds_fewer = std::any_of(
+      m_waiting.begin(), m_waiting.end(),
+      [&](const auto& entry) { return Held(entry.first, connections) < held; });
+  if (another_holds_fewer) {
+    return {Action::kWait, 0, kPatience};
   }
   const absl::Duration waited = now - wait.since;
   if (held > 0 && waited < kPatience) {
@@ -80,24 +86,21 @@
     size_t limit,
     absl::Time now) const {
   const SharedConnection& free = connections[index];
-  const bool others_wait = std::any_of(
-      m_waiting.begin(), m_waiting.end(), [&free, now](const auto& entry) {
-        return entry.first != free.workspace &&
-               now - entry.second.last_attempt < kAttemptLifetime &&
-               now - entry.second.since >= kPatience;
-      });
-  if (!others_wait || connections.size() < limit) {
+  if (connections.size() < limit) {
     return false;
   }
-  const size_t share = std::max<size_t>(
-      1, limit / std::max<size_t>(1, Active(connections, now)));
-  const size_t held =
-      std::count_if(connections.begin(), connections.end(),
-                    [&free](const SharedConnection& connection) {
-                      return connection.workspace == free.workspace;
-                    });
-  return held > share ||
-         (Active(connections, now) > limit && now - free.opened_at >= kMinUse);
+  const size_t held = Held(free.workspace, connections);
+  const bool used_a_while = now - free.opened_at >= kMinUse;
+  return std::any_of(
+      m_waiting.begin(), m_waiting.end(), [&](const auto& entry) {
+        const auto& [workspace, wait] = entry;
+        if (workspace == free.workspace || !Waits(wait, now) ||
+            now - wait.since < kPatience) {
+          return false;
+        }
+        const size_t others = Held(workspace, connections);
+        return others + 1 < held || (others < held && used_a_while);
+      });
 }
 
 }  // namespace heatherwick
--- a/Source/decision/connection_share.h
+++ b/Source/decision/connection_share.h
@@ -8,9 +8,10 @@
 //   that was idle longest goes first.
 // - A workspace that has a connection waits for it about as long as opening
 //   another would take, before it takes an idle one from another workspace.
-// - A workspace that holds more than its equal share gives a connection up when
-//   it becomes free while another workspace waits. If more workspaces are
-//   active than there are connections, each may use one for a while.
+// - A workspace gives a connection up when it becomes free while another one
+//   waits that holds fewer: at once if both then hold the same number or the
+//   other still holds fewer, otherwise after a while.
+// - Of the workspaces that wait, those that hold the fewest take a place first.
 //
 // Without workspaces all connections have the same, empty name, and none of
 // this applies.
@@ -73,9 +74,8 @@
     absl::Time last_attempt;
   };
 
-  // Workspaces that wait or use a connection.
-  size_t Active(const std::vector<SharedConnection>& connections,
-                absl::Time now) const;
+  // Whether a workspace still waits.
+  static bool Waits(const Wait& wait, absl::Time now);
 
   // By workspace. Entries that have not been repeated lately do not count.
   std::map<WorkspaceName, Wait> m_waiting;
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -55,7 +55,8 @@
   }
   if (query.loan != 0) {
     const auto loan = m_loans.find(query.loan);
-    if (loan == m_loans.end() || loan->second.answer) {
+    if (loan == m_loans.end() || loan->second.answer ||
+        loan->second.connection->workspace != query.workspace) {
       Refuse(answer, "the loan has ended or is in use");
       return;
     }
@@ -111,13 +112,16 @@
   if (pool == nullptr) {
     return;
   }
-  // Workspaces whose oldest request found no connection; later ones wait too.
-  std::map<WorkspaceName, size_t> unserved;
+  // Workspaces whose oldest request found no connection, in the order of these
+  // requests, with their numbers of requests; later ones wait too.
+  std::vector<std::pair<WorkspaceName, size_t>> unserved;
   std::list<Request>& requests = waiting->second;
   for (auto entry = requests.begin(); entry != requests.end();) {
     const auto request = entry++;
     const WorkspaceName workspace = request->query.workspace;
-    const auto earlier = unserved.find(workspace);
+    const auto earlier = std::find_if(
+        unserved.begin(), unserved.end(),
+        [&workspace](const auto& each) { return each.first == workspace; });
     if (earlier != unserved.end()) {
       ++earlier->second;
       continue;
@@ -133,7 +137,7 @@
       Refuse(refused, "the target accepts no connection",
              RunOutcome::kNoConnection);
     } else {
-      unserved[workspace] = 1;
+      unserved.emplace_back(workspace, 1);
     }
   }
   for (const auto& [workspace, count] : unserved) {
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -134,6 +134,9 @@
     BorrowOne(workspace);
   }
   if (now < m_retry_at) {
+    if (!workspace.empty()) {
+      NotifyAfter(m_retry_at - now);
+    }
     return;
   }
   size_t opening = 0;
@@ -189,17 +192,14 @@
     case ConnectionShare::Action::kReplace:
       m_observer->CountConnection("replaced");
       Remove(OwnConnection(choice.replaced));
+      if (OwnConnections().size() >= limit) {
+        // A status query had opened one more.
+        return OpenShared(workspace, limit);
+      }
       break;
     case ConnectionShare::Action::kWait:
       if (choice.retry_after != absl::InfiniteDuration()) {
-        m_share_timer = m_loop->RunAfter(choice.retry_after, [this]() {
-          // The observer may replace this timer, so it runs later.
-          m_loop->Post([this, alive = m_alive]() {
-            if (*alive) {
-              m_observer->OnPoolChanged(this);
-            }
-          });
-        });
+        NotifyAfter(choice.retry_after);
       }
       return false;
   }
@@ -207,6 +207,45 @@
   return true;
 }
 
+void TargetPool::NotifyAfter(absl::Duration delay) {
+  const absl::Time at = m_loop->Now() + delay;
+  if (m_notify_at <= at) {
+    return;
+  }
+  m_notify_at = at;
+  m_share_timer = m_loop->RunAfter(delay, [this]() {
+    // The observer may replace this timer, so it runs later.
+    m_loop->Post([this, alive = m_alive]() {
+      if (*alive) {
+        m_notify_at = absl::InfiniteFuture();
+        m_observer->OnPoolChanged(this);
+      }
+    });
+  });
+}
+
+void TargetPool::MakeRoomForQuery() {
+  const std::vector<SharedConnection> own = OwnConnections();
+  const bool shared = std::any_of(
+      own.begin(), own.end(),
+      [](const auto& connection) { return !connection.workspace.empty(); });
+  if (!shared || m_guaranteed == 0 || own.size() < m_maximum) {
+    return;
+  }
+  std::optional<size_t> idle_longest;
+  for (size_t index = 0; index < own.size(); ++index) {
+    if (own[index].open && !own[index].busy &&
+        (!idle_longest ||
+         own[index].idle_since < own[*idle_longest].idle_since)) {
+      idle_longest = index;
+    }
+  }
+  if (idle_longest) {
+    m_observer->CountConnection("replaced");
+    Remove(OwnConnection(*idle_longest));
+  }
+}
+
 void TargetPool::BorrowOne(const WorkspaceName& workspace) {
   size_t borrowed = 0;
   for (const auto& connection : m_connections) {
@@ -407,6 +446,7 @@
       m_loop->Post([query]() { query->Finish(std::nullopt); });
       return;
     }
+    MakeRoomForQuery();
     query->connection = Open("", true);
     query->connection->busy = true;
   }
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -137,6 +137,11 @@
   bool MustYield(const TargetConnection* connection) const;
   // Opens a connection if ConnectionShare allows it.
   bool OpenShared(const WorkspaceName& workspace, size_t limit);
+  // Closes an idle connection for a status query, if connections belong to
+  // workspaces and the pool has its number of them.
+  void MakeRoomForQuery();
+  // Has waiting statements dispatched again after `delay`.
+  void NotifyAfter(absl::Duration delay);
   TargetConnection* OwnConnection(size_t index) const;
 
   ListedTarget m_target;
@@ -146,6 +151,7 @@
   std::list<std::unique_ptr<TargetConnection>> m_connections;
   ConnectionShare m_share;
   std::unique_ptr<Timer> m_share_timer;
+  absl::Time m_notify_at = absl::InfiniteFuture();
   size_t m_guaranteed = 1;
   size_t m_maximum = 1;
   absl::Time m_last_contact = absl::InfinitePast();
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -2,9 +2,11 @@
 // state, run a statement twice, report a statement that ran as not run, or pass
 // a target's limit.
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +31,7 @@
   struct Ran {
     std::string id;
     int connection;
+    WorkspaceName workspace = "";  // Of the connection.
   };
 
   FakeDatabase(VirtualLoop* loop, size_t slots, size_t max_connections)
@@ -36,7 +39,7 @@
 
   std::unique_ptr<TargetLink> Open(
       const ListedTarget&,
-      const WorkspaceName&,
+      const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
     const int number = ++opened;
@@ -48,6 +51,7 @@
       return std::make_unique<Link>(this, number);
     }
     m_connections[number].on_close = std::move(on_close);
+    m_connections[number].workspace = workspace;
     most_connections = std::max(most_connections, m_connections.size());
     Occupy(number, open_time, [this, number, on_open]() {
       if (m_connections.contains(number)) {
@@ -69,6 +73,7 @@
 
   int opened = 0;
   int refused = 0;
+  size_t Connections() const { return m_connections.size(); }
   size_t most_connections = 0;
   std::vector<Ran> ran;  // Statements of borrowers.
   int resets = 0;
@@ -81,6 +86,7 @@
  private:
   struct Connection {
     std::function<void(Error)> on_close;
+    WorkspaceName workspace;
     TransactionState state = TransactionState::kIdle;
     std::map<std::string, std::string> values;
   };
@@ -146,7 +152,7 @@
         connection.state = TransactionState::kIdle;
         [[fallthrough]];
       default:
-        ran.push_back({command.id, number});
+        ran.push_back({command.id, number, connection.workspace});
         time = statement_time;
         for (const auto& [name, value] : connection.values) {
           reply.rows.push_back(absl::StrCat(name, "=", value));
@@ -340,11 +346,11 @@
     int closed = 0;
   };
 
-  Caller& Open(size_t borrower) {
+  Caller& Open(size_t borrower, const WorkspaceName& workspace = "") {
     m_callers.push_back(std::make_unique<Caller>());
     Caller* const caller = m_callers.back().get();
     caller->link = m_borrowers[borrower]->driver.Open(
-        Fleet::Target(), "", [](const Result<Position>&) {},
+        Fleet::Target(), workspace, [](const Result<Position>&) {},
         [caller](const Error&) { ++caller->closed; });
     m_fleet.loop.RunFor(absl::Milliseconds(1));
     return *caller;
@@ -726,5 +732,274 @@
   CHECK(fleet.database.refused == 0);
 }
 
+// One lender with four connections for many workspaces, without the hops to it.
+// A statement's id starts with its workspace's name.
+class WorkspaceLendingFixture {
+ protected:
+  static constexpr size_t kConnections = 4;
+
+  struct Lender : PoolObserver {
+    explicit Lender(VirtualLoop* loop, FakeDatabase* database, uint64_t run)
+        : pool(Fleet::Target(), loop, database, this),
+          lender(loop, run, [this](const auto&, const auto&) {
+            return &pool;
+          }) {
+      pool.SetLimits(kConnections, kConnections);
+    }
+    void OnPoolChanged(TargetPool* changed) override {
+      lender.OnPoolChanged(changed);
+    }
+    TargetPool pool;
+    ConnectionLender lender;
+  };
+
+  void StartLender() {
+    m_lender.reset();
+    m_lender = std::make_unique<Lender>(&m_loop, &m_database, ++m_run);
+  }
+  // Asks for a statement. Counts how it ends.
+  void Ask(const WorkspaceName& workspace,
+           StatementKind kind = StatementKind::kRead,
+           uint64_t loan = 0) {
+    RunQuery query{"g", "db", workspace, loan, {}, ++m_requests};
+    TargetCommand command;
+    command.kind = kind;
+    command.id = workspace + ":" + std::to_string(m_requests);
+    query.commands.push_back(command);
+    const absl::Time asked = m_loop.Now();
+    ++m_open[workspace];
+    m_lender->lender.OnRun(
+        query, [this, workspace, asked](const RunResponse& response) {
+          --m_open[workspace];
+          ++(response.outcome == RunOutcome::kDone ? m_served
+                                                   : m_refused)[workspace];
+          m_longest[workspace] =
+              std::max(m_longest[workspace], m_loop.Now() - asked);
+          m_last = response;
+        });
+  }
+  void Run(absl::Duration time) { m_loop.RunFor(time); }
+  bool EachRanOnItsWorkspacesConnection() const {
+    return std::all_of(m_database.ran.begin(), m_database.ran.end(),
+                       [](const FakeDatabase::Ran& ran) {
+                         return ran.id.substr(0, ran.id.find(':')) ==
+                                ran.workspace;
+                       });
+  }
+
+  VirtualLoop m_loop;
+  FakeDatabase m_database{&m_loop, 4, 16};
+  std::map<WorkspaceName, int> m_open;  // Not answered yet.
+  std::map<WorkspaceName, int> m_served;
+  std::map<WorkspaceName, int> m_refused;
+  std::map<WorkspaceName, absl::Duration> m_longest;
+  RunResponse m_last;
+  uint64_t m_requests = 0;
+  uint64_t m_run = 0;
+  std::unique_ptr<Lender> m_lender;
+};
+
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_RandomLoad_NoneSharesAConnection") {
+  StartLender();
+  std::minstd_rand random(3);
+  for (int i = 0; i < 3000; ++i) {
+    Ask(absl::StrCat("w", random() % 12));
+    Run(absl::Milliseconds(random() % 12));
+  }
+  Run(absl::Seconds(1));
+  CHECK(EachRanOnItsWorkspacesConnection());
+  CHECK(m_database.most_connections <= kConnections);
+  for (const auto& [workspace, open] : m_open) {
+    CHECK(open == 0);
+  }
+}
+
+// Eight workspaces with equal demand, which the target cannot carry in full.
+// The places of the connections went to the first workspaces of the alphabet,
+// and the others were refused.
+TEST_CASE_FIXTURE(
+    WorkspaceLendingFixture,
+    "LendingWorkspaces_MoreBusyOnesThanConnections_AllAreServed") {
+  StartLender();
+  for (int ms = 0; ms < 10000; ms += 5) {
+    for (int i = 0; i < 8; ++i) {
+      const WorkspaceName workspace = absl::StrCat("w", i);
+      while (m_open[workspace] < 4) {
+        Ask(workspace);
+      }
+    }
+    Run(absl::Milliseconds(5));
+  }
+  int total = 0;
+  for (const auto& [workspace, served] : m_served) {
+    total += served;
+  }
+  // Four slots and 12 ms for a statement.
+  CHECK(total > 2000);
+  for (int i = 0; i < 8; ++i) {
+    CAPTURE(i);
+    CHECK(m_served[absl::StrCat("w", i)] >= total / 8 / 2);
+  }
+  CHECK(m_database.most_connections <= kConnections);
+}
+
+// With more workspaces than connections, none may wait for the others to end.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_HotOneBesideSmallOnes_SmallAreServed") {
+  StartLender();
+  int asked = 0;
+  for (int ms = 0; ms < 10000; ms += 5) {
+    while (m_open["hot"] < 16) {
+      Ask("hot");
+    }
+    if (ms % 50 == 0) {
+      Ask(absl::StrCat("s", asked++ % 10));
+    }
+    Run(absl::Milliseconds(5));
+  }
+  Run(absl::Seconds(1));
+  for (int i = 0; i < 10; ++i) {
+    const WorkspaceName small = absl::StrCat("s", i);
+    CAPTURE(small);
+    CHECK(m_refused[small] == 0);
+    CHECK(m_served[small] == asked / 10);
+    CHECK(m_longest[small] < absl::Milliseconds(150));
+  }
+  CHECK(m_served["hot"] > 1000);
+}
+
+// Two workspaces that want one connection more than there are must not open one
+// after the other for it.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_UnevenShare_OpensFewConnections") {
+  StartLender();
+  for (int ms = 0; ms < 10000; ms += 5) {
+    for (const char* workspace : {"a", "b", "c"}) {
+      while (m_open[workspace] < 4) {
+        Ask(workspace);
+      }
+    }
+    Run(absl::Milliseconds(5));
+  }
+  // At most a tenth of the time of four slots, 12 ms each.
+  CHECK(m_database.opened <= 10000 * 4 / 10 / 12);
+  for (const char* workspace : {"a", "b", "c"}) {
+    CHECK(m_served[workspace] > 700);
+  }
+}
+
+// A workspace's free connection was left to one that had given up, and its own
+// request was refused.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_WaiterGivesUp_FreeConnectionIsUsed") {
+  StartLender();
+  m_lender->pool.SetLimits(1, 1);
+  m_database.statement_time = absl::Milliseconds(120);
+  Ask("a");
+  Run(absl::Milliseconds(20));
+  Ask("b");
+  const uint64_t waiter = m_requests;
+  Run(absl::Milliseconds(20));
+  Ask("a");
+  Run(absl::Milliseconds(85));
+  Ask("b");  // Repeats the attempt shortly before the connection is free.
+  m_lender->lender.OnCancel(waiter);
+  m_lender->lender.OnCancel(m_requests);
+  Run(absl::Milliseconds(400));
+  CHECK(m_served["a"] == 2);
+  CHECK(m_refused["a"] == 0);
+}
+
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_OneFillsItsPart_OthersFindRoom") {
+  StartLender();
+  m_database.hold = true;
+  for (int i = 0; i < 40; ++i) {
+    Ask("hot");
+  }
+  Run(absl::Milliseconds(20));
+  // Four run or are about to, and sixteen wait.
+  CHECK(m_refused["hot"] >= 20);
+  CHECK(m_last.outcome == RunOutcome::kNoConnection);
+  const int open = m_open["hot"];
+  CHECK(open <= 20);
+  Ask("small");
+  Run(absl::Milliseconds(20));
+  CHECK(m_open["small"] == 1);
+  // Those that wait are refused in time.
+  Run(absl::Milliseconds(300));
+  CHECK(m_open["hot"] == 4);
+  CHECK(m_open["small"] == 0);
+}
+
+// A lender that starts again has no connections; those that wait at the old one
+// are lost with it, and loans of its earlier run must not be taken for others.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_LenderRestarts_OldLoansAreRefused") {
+  StartLender();
+  Ask("w0", StatementKind::kBegin);
+  Run(absl::Milliseconds(50));
+  REQUIRE(m_last.outcome == RunOutcome::kDone);
+  const uint64_t loan = m_last.loan;
+  REQUIRE(loan != 0);
+  m_database.ran.clear();
+  m_open.clear();
+  StartLender();
+  Ask("w1", StatementKind::kBegin);
+  Run(absl::Milliseconds(50));
+  REQUIRE(m_last.loan != loan);
+  Ask("w0", StatementKind::kWrite, loan);
+  Run(absl::Milliseconds(50));
+  CHECK(m_last.outcome == RunOutcome::kRefused);
+  CHECK(m_database.ran.empty());
+  CHECK(m_database.most_connections <= kConnections);
+  CHECK(m_database.Connections() == 1);
+}
+
+// Where all connections belong to workspaces, each status query opened one more
+// than the lender's number, and workspaces took these over.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_StatusQueries_NumberOfConnectionsHolds") {
+  StartLender();
+  int answered = 0;
+  for (int ms = 0; ms < 5000; ms += 5) {
+    for (int i = 0; i < 6; ++i) {
+      const WorkspaceName workspace = absl::StrCat("w", i);
+      while (m_open[workspace] < 2) {
+        Ask(workspace);
+      }
+    }
+    if (ms % 100 == 0) {
+      m_lender->pool.QueryStatus(absl::Milliseconds(400),
+                                 [&answered](const auto&) { ++answered; });
+    }
+    if (ms % 50 == 0) {
+      m_lender->pool.CloseIdle();
+    }
+    Run(absl::Milliseconds(5));
+  }
+  CHECK(answered >= 45);
+  // One more for a query that finds all of them in use.
+  CHECK(m_database.most_connections <= kConnections + 1);
+  Run(absl::Seconds(1));
+  m_lender->pool.CloseIdle();
+  CHECK(m_database.Connections() <= kConnections);
+}
+
+// A statement of one workspace must not reach a loan of another.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_LoanOfAnotherWorkspace_IsRefused") {
+  StartLender();
+  Ask("w0", StatementKind::kBegin);
+  Run(absl::Milliseconds(50));
+  const uint64_t loan = m_last.loan;
+  REQUIRE(loan != 0);
+  Ask("w1", StatementKind::kWrite, loan);
+  Run(absl::Milliseconds(50));
+  CHECK(m_last.outcome == RunOutcome::kRefused);
+  CHECK(EachRanOnItsWorkspacesConnection());
+}
+
 }  // namespace
 }  // namespace heatherwick
