--- a/Source/base/json_reader.cc
+++ b/Source/base/json_reader.cc
@@ -39,9 +39,14 @@
   };
   try {
     return json::parse(text.begin(), text.end(), check_depth);
+  } catch (const json::parse_error& error) {
+    // The library's own text quotes the document, which may contain keys.
+    return Error{ErrorKind::kInvalidArgument,
+                 absl::StrCat("not valid JSON at byte ", error.byte),
+                 "correct the document"};
   } catch (const json::exception& error) {
     return Error{ErrorKind::kInvalidArgument,
-                 absl::StrCat("not valid JSON: ", error.what()),
+                 absl::StrCat("not valid JSON, error ", error.id),
                  "correct the document"};
   } catch (const TooDeep& error) {
     return Error{ErrorKind::kInvalidArgument, error.what(),
@@ -110,6 +115,26 @@
   return value->get<uint64_t>();
 }
 
+double JsonReader::Amount(const char* field, double max) {
+  (void)Find(field, true);
+  return AmountOr(field, 0, max);
+}
+
+double JsonReader::AmountOr(const char* field,
+                            double default_value,
+                            double max) {
+  const json* const value = Find(field, false);
+  if (value == nullptr) {
+    return default_value;
+  }
+  if (!value->is_number() || !(value->get<double>() >= 0) ||
+      value->get<double>() > max) {
+    Fail(field, absl::StrCat("is not a number from 0 to ", max));
+    return default_value;
+  }
+  return value->get<double>();
+}
+
 std::string JsonReader::Name(const char* field) {
   const json* const value = Find(field, true);
   if (value == nullptr) {
--- a/Source/base/json_reader.h
+++ b/Source/base/json_reader.h
@@ -45,6 +45,9 @@
                     uint64_t default_value,
                     uint64_t min,
                     uint64_t max);
+  // A number from 0 to `max` that need not be whole.
+  double Amount(const char* field, double max);
+  double AmountOr(const char* field, double default_value, double max);
   // A text of 1 to kMaxNameBytes bytes without blanks and control characters,
   // so that it can be used in lines of protocols and logs.
   std::string Name(const char* field);
--- a/Tests/platform/documents_test.cc
+++ b/Tests/platform/documents_test.cc
@@ -107,6 +107,39 @@
   }
 }
 
+// A rate need not be a whole number; without its quota the workspace would not
+// be limited.
+TEST_CASE_FIXTURE(DocumentsFixture, "Configuration_FractionalQuota_IsDecoded") {
+  const Configuration configuration = DecodeWithWorkspaces(
+      R"([{"name":"w","apiKeys":["k1"],"ratePerS":7.5,"burst":2.5}])");
+  CHECK(configuration.workspaces.at("w").quota == WorkspaceQuota{7.5, 2.5});
+  CHECK(configuration.invalid_quotas.empty());
+}
+
+// The name and the keys can be used, so that the callers are served.
+TEST_CASE_FIXTURE(DocumentsFixture,
+                  "Configuration_InvalidPriority_KeepsTheWorkspace") {
+  for (const char* priority : {"-1", "\"high\"", "1e9"}) {
+    CAPTURE(priority);
+    const Configuration configuration = DecodeWithWorkspaces(
+        absl::StrCat(R"([{"name":"w","apiKeys":["k1"],"priority":)", priority,
+                     R"(,"ratePerS":7,"burst":2}])"));
+    REQUIRE(configuration.workspaces.contains("w"));
+    CHECK(configuration.workspaces.at("w").quota == WorkspaceQuota{7, 2});
+  }
+}
+
+// The error is logged, and the parser's own text quotes the document.
+TEST_CASE_FIXTURE(DocumentsFixture, "Configuration_NotJson_ErrorNamesNoKey") {
+  for (const char* rest : {"", "x", "]", "\n", "\x01\""}) {
+    CAPTURE(rest);
+    const auto decoded = DecodeConfiguration(absl::StrCat(
+        R"({"tenants":[{"name":"w","apiKeys":["secret-key)", rest));
+    REQUIRE_FALSE(Ok(decoded));
+    CHECK(ErrorOf(decoded).Describe().find("secret-key") == std::string::npos);
+  }
+}
+
 TEST_CASE_FIXTURE(DocumentsFixture,
                   "Configuration_TenThousandWorkspaces_AreDecoded") {
   std::string list;
