--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -185,7 +185,8 @@
   if (access.outcome == AccessOutcome::kUnknownKey) {
     EndTransaction("the key was withdrawn");
     CloseIdle();
-  } else if (m_in_transaction && access.workspace != m_workspace) {
+  } else if (m_in_transaction && access.outcome == AccessOutcome::kGranted &&
+             access.workspace != m_workspace) {
     EndTransaction("the key was moved to another workspace");
   }
 }
--- a/Tests/gateway/workspace_session_test.cc
+++ b/Tests/gateway/workspace_session_test.cc
@@ -136,5 +136,21 @@
   CHECK_FALSE(m_gateway.Ready());
 }
 
+// The configuration arrives before the time of its reading is known. A key that
+// is still in force was taken for one that has moved.
+TEST_CASE_FIXTURE(WorkspaceSessionFixture,
+                  "WorkspaceSession_ConfigurationAfterAnOutage_KeepsKeyInUse") {
+  m_gateway.SetRevocationLimit(absl::Milliseconds(500));
+  Open("orders", "k1");
+  BeginAndWrite();
+  m_loop.RunFor(absl::Seconds(1));
+  Configure({{"k1", "w"}, {"k2", "v"}});
+  m_gateway.OnConfigurationRead(m_loop.Now());
+  RunStatement(StatementKind::kCommit, "COMMIT");
+  REQUIRE(m_driver.sent.size() == 1);
+  ReplyToOldest(ReplyCode::kComplete);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+}
+
 }  // namespace
 }  // namespace heatherwick
