--- a/Tests/platform/end_to_end_test.cc
+++ b/Tests/platform/end_to_end_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Source/base/steady_clock.h"
+#include "Tests/platform/log_lines.h"
 #include "Tests/platform/platform_fakes.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -37,14 +38,17 @@
 
 class Caller {
  public:
-  Caller(const Endpoint& endpoint, const std::string& database)
+  Caller(const Endpoint& endpoint,
+         const std::string& database,
+         const std::string& key = "u1")
       : m_socket(m_context) {
     error_code error;
     m_socket.connect(tcp::endpoint(boost::asio::ip::make_address(endpoint.host),
                                    endpoint.port),
                      error);
-    m_greeting = error ? error.message()
-                       : Send(absl::StrCat("START ", database, " u1\r\n"));
+    m_greeting = error
+                     ? error.message()
+                     : Send(absl::StrCat("START ", database, " ", key, "\r\n"));
   }
 
   const std::string& Greeting() const { return m_greeting; }
@@ -113,7 +117,10 @@
     }
   }
 
-  static std::string Document(int version, const std::string& database) {
+  // `workspaces` is the list of them; empty if the document has none.
+  static std::string Document(int version,
+                              const std::string& database,
+                              const std::string& workspaces = "") {
     return absl::StrCat(
         R"({"version":)", version, R"(,"routes":[{"name":"r","host":")",
         database,
@@ -121,10 +128,19 @@
         R"("priority":1,"service":"s"},{"name":"v","host":"views",)"
         R"("type":"bounded_staleness","timeoutMs":3000,"targetLatencyMs":200,)"
         R"("priority":2,"service":"s","maxStalenessMs":1500}],)"
-        R"("services":[{"name":"s","maxConnections":16}],"limits":{}})");
+        R"("services":[{"name":"s","maxConnections":16}],)",
+        workspaces.empty() ? ""
+                           : absl::StrCat(R"("tenants":)", workspaces, ","),
+        R"("limits":{}})");
   }
 
   unsigned Ready(int index) const {
+    return Get(index, "/heatherwick/ready").result_int();
+  }
+
+  boost::beast::http::response<boost::beast::http::string_body> Get(
+      int index,
+      const std::string& path) const {
     namespace http = boost::beast::http;
     boost::asio::io_context context;
     tcp::socket socket(context);
@@ -132,13 +148,15 @@
     socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
                                  endpoints[index].readiness.port),
                    error);
-    http::request<http::empty_body> request(http::verb::get,
-                                            "/heatherwick/ready", 11);
+    http::request<http::empty_body> request(http::verb::get, path, 11);
     http::write(socket, request, error);
     boost::beast::flat_buffer buffer;
     http::response<http::string_body> response;
     http::read(socket, buffer, response, error);
-    return error ? 0 : response.result_int();
+    if (error) {
+      response.result(0U);
+    }
+    return response;
   }
 
   FakeStore store;
@@ -216,6 +234,71 @@
   CHECK(absl::StrContains(caller.Query("READ k"), "ERROR NODB"));
 }
 
+// Keys would let everyone who reads a log, a metric or an error in. All keys
+// here contain "hidden", also unknown and withdrawn ones and those of documents
+// that cannot be read.
+TEST_CASE_FIXTURE(EndToEndFixture, "EndToEnd_Keys_AreInNoLogMetricOrError") {
+  LogLines log;
+  int version = 10;
+  const auto configure = [&](const std::string& workspaces) {
+    m_deployment.store.Put(
+        "op", "config", Deployment::Document(++version, "orders", workspaces));
+    const std::string applied = absl::StrCat("version=", version, " ");
+    CHECK(Within(absl::Seconds(5),
+                 [&]() { return absl::StrContains(log.Text(), applied); }));
+    absl::SleepFor(absl::Milliseconds(300));
+  };
+  std::string answers;
+  configure(R"([{"name":"w","apiKeys":["hidden-w"],"ratePerS":100,"burst":9},)"
+            R"({"name":"v","apiKeys":["hidden-v","hidden-w"]},)"
+            R"({"name":"u","apiKeys":["hidden-u",7]},{"apiKeys":["hidden-x"]},)"
+            R"({"name":"t","apiKeys":["hidden-t"],"ratePerS":"hidden-r"}])");
+  Caller caller(At(0), "orders", "hidden-w");
+  CHECK(absl::StartsWith(caller.Greeting(), "READY"));
+  CHECK(Within(absl::Seconds(5), [&]() {
+    answers += caller.Query("WRITE k v1");
+    return absl::StrContains(answers, "COMPLETE write");
+  }));
+  for (const char* key : {"hidden-v", "hidden-u", "hidden-x", "hidden-z"}) {
+    const std::string greeting = Caller(At(1), "orders", key).Greeting();
+    CHECK(absl::StrContains(greeting, "UNAUTH"));
+    answers += greeting;
+  }
+  answers += Caller(At(0), "nowhere", "hidden-w").Greeting();
+  answers += Caller(At(0), "orders", "hidden-a hidden-b").Greeting();
+  answers += Caller(At(0), "orders", "hidden-\x01").Greeting();
+  answers += caller.Send("START orders hidden-w\r\n");
+  answers += caller.Query("hidden-w");
+  answers += caller.Query("BEGIN");
+  answers += caller.Query("WRITE k v2");
+  configure(R"([{"name":"w","apiKeys":["hidden-y"]}])");
+  answers += caller.Query("COMMIT");
+  CHECK(absl::StrContains(answers, "UNAUTH"));
+  for (const char* document :
+       {R"({"version":20,"tenants":[{"apiKeys":["hidden-d)",
+        R"({"version":20,"tenants":"hidden-d","routes":"hidden-e"})",
+        R"(["hidden-d"])"}) {
+    m_deployment.store.Put("op", "config", document);
+    absl::SleepFor(absl::Milliseconds(300));
+  }
+  for (int index = 0; index < 2; ++index) {
+    const std::string metrics = m_deployment.Get(index, "/metrics").body();
+    CHECK(absl::StrContains(metrics, "heatherwick_"));
+    CHECK_FALSE(absl::StrContains(metrics, "hidden"));
+  }
+  CHECK_FALSE(absl::StrContains(answers, "hidden"));
+  const std::string text = log.Text();
+  CHECK(absl::StrContains(text, "workspace_skipped"));
+  CHECK(absl::StrContains(text, "not valid JSON at byte"));
+  const size_t found = text.find("hidden");
+  CHECK_MESSAGE(found == std::string::npos,
+                text.substr(found == std::string::npos ? 0 : found - 100, 200));
+  // A target is told the workspace, never the key.
+  for (const FakeStatement& statement : m_deployment.group.Statements()) {
+    CHECK(statement.workspace == "w");
+  }
+}
+
 TEST_CASE_FIXTURE(EndToEndFixture, "EndToEnd_PrimaryCrashes_IsReplaced") {
   Caller before(At(0), "orders");
   CHECK(absl::StrContains(before.Query("WRITE k v1"), "COMPLETE"));
--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -394,6 +394,11 @@
   return m_commits;
 }
 
+std::vector<FakeStatement> FakeDatabaseGroup::Statements() {
+  absl::MutexLock lock(&m_mutex);
+  return m_statements;
+}
+
 void FakeDatabaseGroup::Append(Database* database, size_t commit) {
   database->log.push_back(commit);
   database->items[m_commits[commit].item] = m_commits[commit].value;
@@ -471,6 +476,7 @@
       if (words.size() != 4 || words[1] != m_service || words[3] != id) {
         reply = "ERROR MOVED wrong name\r\n";
       } else {
+        session.workspace = words[2];
         absl::MutexLock lock(&m_mutex);
         reply = FormatReady(m_databases[id], session);
       }
@@ -490,6 +496,10 @@
   std::vector<std::string> words = absl::StrSplit(line, ' ');
   const std::string statement = words[1];
   words.erase(words.begin(), words.begin() + 2);  // QUERY and the id.
+  if (words[0] != "STATUS" && words[0] != "RESET" && words[0] != "SET" &&
+      words[0] != "PREPARE") {
+    m_statements.push_back({statement, session->workspace, SteadyNow()});
+  }
   std::string rows;
   const std::string outcome =
       RunCommand(&database, id, statement, std::move(words), session, &rows);
@@ -532,12 +542,12 @@
     session->open = true;
     session->read_only = !plain_begin;
   } else if (words[0] == "ROLLBACK") {
-    *session = {false, false, false, {}, session->prepared};
+    *session = {session->workspace, false, false, false, {}, session->prepared};
   } else if (words[0] == "COMMIT") {
     for (const auto& [item, value] : session->writes) {
       Commit(database, statement, item, value);
     }
-    *session = {false, false, false, {}, session->prepared};
+    *session = {session->workspace, false, false, false, {}, session->prepared};
     return "COMPLETE commit";
   } else if (words[0] == "READ") {
     *rows = absl::StrCat("DATAROW ", database->items[words[1]], "\r\n");
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -110,6 +110,14 @@
   bool lost = false;     // The promoted database had not received it.
 };
 
+// A statement that reached a database: BEGIN, COMMIT, ROLLBACK, or one that
+// reads or writes.
+struct FakeStatement {
+  std::string id;
+  std::string workspace;  // That START named for its connection.
+  absl::Time received;
+};
+
 struct FakeGroupOptions {
   absl::Duration lag;  // From a commit to its receipt by replicas.
   // From the order of a promotion to its effect, unless Promote is given a
@@ -150,9 +158,12 @@
   // The values of all commits, in order.
   std::vector<std::string> Committed();
   std::vector<FakeCommit> Commits();
+  // All statements that reached the databases, in order.
+  std::vector<FakeStatement> Statements();
 
  private:
   struct Session {
+    std::string workspace;
     bool open = false;  // In a transaction.
     bool failed = false;
     bool read_only = false;
@@ -206,6 +217,7 @@
   std::string m_primary;  // The primary of the newest term.
   uint64_t m_term = 1;
   std::vector<FakeCommit> m_commits;
+  std::vector<FakeStatement> m_statements;
 };
 
 }  // namespace heatherwick::platform
