--- a/Source/decision/quota_requester.cc
+++ b/Source/decision/quota_requester.cc
@@ -17,6 +17,10 @@
 // An instance that says that it does not coordinate the shard has another view
 // of the members, or starts to coordinate it soon.
 constexpr absl::Duration kDisagreementDelay = absl::Milliseconds(200);
+// Bounds of the pause that a coordinator asks for; see QuotaCoordinator for
+// what those of this version ask for.
+constexpr absl::Duration kMinBlock = absl::Milliseconds(10);
+constexpr absl::Duration kMaxBlock = absl::Seconds(1);
 // For operations for which no coordinator can be asked.
 constexpr absl::Duration kNoShardRetry = absl::Milliseconds(200);
 // A shard with this part left is asked although others may have more.
@@ -241,11 +245,12 @@
     shard.blocked_until = now + kDisagreementDelay;
     CountFailure(query, &workspace, actions);
   } else if (response->granted < query.count) {
-    shard.blocked_until = now + response->retry_after;
+    shard.blocked_until =
+        now + std::clamp(response->retry_after, kMinBlock, kMaxBlock);
     shard.used_up = true;
   }
-  const size_t admitted =
-      std::min<size_t>(response->granted, workspace.waiting.size());
+  const size_t admitted = std::min<size_t>(
+      std::min(response->granted, query.count), workspace.waiting.size());
   for (size_t index = 0; index < admitted; ++index) {
     actions->admitted.push_back(workspace.waiting[index].ticket);
   }
--- a/Tests/decision/quota_test.cc
+++ b/Tests/decision/quota_test.cc
@@ -95,6 +95,41 @@
   CHECK(RefusedShare(fleet) <= 0.01);
 }
 
+// A coordinator of another version, or a faulty one, must neither be asked
+// without a pause, nor be avoided for ever, nor grant what was not asked for.
+TEST_CASE_FIXTURE(QuotaFixture,
+                  "QuotaRequester_ImplausibleAnswers_AreBounded") {
+  QuotaRequester requester("self", "z0");
+  requester.OnMembers(Members(1, 1));
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  QuotaActions actions;
+  requester.Admit("w", 1, 0, now, &actions);
+  REQUIRE(actions.calls.size() == 1);
+  const QuotaQuery query = actions.calls[0].query;
+  for (QuotaTicket ticket = 2; ticket < 5; ++ticket) {
+    requester.Admit("w", ticket, 0, now, &actions);
+  }
+  actions = {};
+  requester.OnAnswer(query, QuotaResponse{QuotaOutcome::kAnswered, 9, {}, 1},
+                     now, &actions);
+  CHECK(actions.admitted.size() == 1);
+  for (const absl::Duration retry_after :
+       {absl::ZeroDuration(), -absl::Hours(1), absl::InfiniteDuration()}) {
+    CAPTURE(absl::FormatDuration(retry_after));
+    REQUIRE(actions.calls.size() == 1);
+    const QuotaQuery next = actions.calls[0].query;
+    actions = {};
+    requester.OnAnswer(
+        next, QuotaResponse{QuotaOutcome::kAnswered, 0, retry_after, 0}, now,
+        &actions);
+    CHECK(actions.calls.empty());
+    now += absl::Seconds(2);
+    requester.OnTime(now, &actions);
+    requester.Admit("w", 10, 0, now, &actions);
+  }
+  CHECK(actions.calls.size() == 1);
+}
+
 // After a loss of power all callers return at once.
 TEST_CASE_FIXTURE(QuotaFixture, "Quota_AllRestart_CallersAreServedAtOnce") {
   QuotaFleet fleet({.quota = {160, 160}});
