--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -374,6 +374,12 @@
     CloseAndNotify(connection);
     return;
   }
+  if (!connection->workspace.empty() && m_guaranteed > 0 &&
+      OwnConnections().size() > m_maximum) {
+    // Under load it might never be idle for long enough to be closed.
+    CloseAndNotify(connection);
+    return;
+  }
   connection->busy = false;
   connection->on_lost = nullptr;
   connection->state_changed_at = m_loop->Now();
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -987,6 +987,32 @@
   CHECK(m_database.Connections() <= kConnections);
 }
 
+// The number falls when lenders join or the operator lowers the limit. Under
+// load no connection was idle for long enough to be closed.
+TEST_CASE_FIXTURE(WorkspaceLendingFixture,
+                  "LendingWorkspaces_NumberFallsUnderLoad_SurplusIsClosed") {
+  StartLender();
+  m_lender->pool.SetLimits(8, 8);
+  const auto run = [this](absl::Duration time) {
+    for (const absl::Time end = m_loop.Now() + time; m_loop.Now() < end;) {
+      for (int i = 0; i < 4; ++i) {
+        const WorkspaceName workspace = absl::StrCat("w", i);
+        while (m_open[workspace] < 4) {
+          Ask(workspace);
+        }
+      }
+      m_lender->pool.CloseIdle();
+      Run(absl::Milliseconds(5));
+    }
+  };
+  run(absl::Seconds(1));
+  REQUIRE(m_database.Connections() == 8);
+  m_lender->pool.SetLimits(kConnections, kConnections);
+  run(absl::Seconds(1));
+  CHECK(m_database.Connections() <= kConnections);
+  CHECK(EachRanOnItsWorkspacesConnection());
+}
+
 // A statement of one workspace must not reach a loan of another.
 TEST_CASE_FIXTURE(WorkspaceLendingFixture,
                   "LendingWorkspaces_LoanOfAnotherWorkspace_IsRefused") {
--- a/Tests/gateway/quota_gate_test.cc
+++ b/Tests/gateway/quota_gate_test.cc
@@ -56,6 +56,7 @@
 
   void Start(int count) {
     std::vector<FleetMember> members;
+    members.reserve(static_cast<size_t>(count));
     for (int number = 0; number < count; ++number) {
       members.push_back({absl::StrCat("i", number), "a", 1});
     }
