--- a/Source/decision/quota_requester.cc
+++ b/Source/decision/quota_requester.cc
@@ -20,6 +20,10 @@
 // An instance that says that it does not coordinate the shard has another view
 // of the members, or starts to coordinate it soon.
 constexpr absl::Duration kDisagreementDelay = absl::Milliseconds(200);
+// Bounds of the pause that a coordinator asks for; see QuotaCoordinator for
+// what those of this version ask for.
+constexpr absl::Duration kMinBlock = absl::Milliseconds(10);
+constexpr absl::Duration kMaxBlock = absl::Seconds(1);
 // For operations for which no coordinator can be asked.
 constexpr absl::Duration kNoShardRetry = absl::Milliseconds(200);
 // A shard with this part left is asked although others may have more.
@@ -210,6 +214,22 @@
   }
 }
 
+void QuotaRequester::CountFailure(const QuotaQuery& query,
+                                  Workspace* workspace,
+                                  QuotaActions* actions) {
+  std::vector<Waiting>& waiting = workspace->waiting;
+  for (size_t index = 0; index < waiting.size(); ++index) {
+    waiting[index].failures += index < query.count ? 1 : 0;
+  }
+  std::erase_if(waiting, [workspace, actions](const Waiting& entry) {
+    const bool refused = entry.failures >= workspace->planned.size();
+    if (refused) {
+      actions->refused.push_back({entry.ticket, kNoShardRetry, false});
+    }
+    return refused;
+  });
+}
+
 void QuotaRequester::OnTime(absl::Time now, QuotaActions* actions) {
   for (auto& [name, workspace] : m_workspaces) {
     if (!workspace.waiting.empty()) {
@@ -236,6 +256,7 @@
       avoided.until = now + avoided.duration;
       avoided.tried = now;
     }
+    CountFailure(query, &workspace, actions);
     Ask(query.workspace, &workspace, now, actions);
     return;
   }
@@ -246,12 +267,14 @@
   shard.answered = now;
   if (response->outcome != QuotaOutcome::kAnswered) {
     shard.blocked_until = now + kDisagreementDelay;
+    CountFailure(query, &workspace, actions);
   } else if (response->granted < query.count) {
-    shard.blocked_until = now + response->retry_after;
+    shard.blocked_until =
+        now + std::clamp(response->retry_after, kMinBlock, kMaxBlock);
     shard.used_up = true;
   }
-  const size_t admitted =
-      std::min<size_t>(response->granted, workspace.waiting.size());
+  const size_t admitted = std::min<size_t>(
+      std::min(response->granted, query.count), workspace.waiting.size());
   for (size_t index = 0; index < admitted; ++index) {
     actions->admitted.push_back(workspace.waiting[index].ticket);
   }
