--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -23,8 +23,14 @@
 // Commands that no lender has run are offered to so many lenders.
 constexpr int kMaxOffers = 3;
 // If there is no free connection, the target is overloaded more likely than its
-// lender, and each offer waits for one.
+// lender.
 constexpr int kMaxOffersWithoutConnection = 3;
+// A request that a lender held for this long before it refused it was late
+// there. A budget limits how often such a request is offered again.
+constexpr absl::Duration kLateRefusal = absl::Milliseconds(50);
+// A lender that had no connection is asked after the others for this time,
+// which is as long as a lender holds a request.
+constexpr absl::Duration kFullDuration = absl::Milliseconds(250);
 constexpr absl::Duration kLenderCheckTimeout = absl::Milliseconds(250);
 // A link that is closed while its lender has not answered for this long shows
 // that the lender may be gone.
@@ -103,8 +109,8 @@
   // Sends the running commands, to any lender if there is no loan.
   void Offer() {
     if (m_loan == 0) {
-      const std::optional<Lender> lender =
-          m_driver->Choose(m_target.group, m_workspace, m_refused_by);
+      const std::optional<Lender> lender = m_driver->Choose(
+          m_target.group, m_target.id, m_workspace, m_refused_by);
       if (!lender) {
         Refuse("the group has no lender");
         return;
@@ -145,6 +151,7 @@
     switch (response.outcome) {
       case RunOutcome::kDone:
         m_driver->OnAnswered(m_lender);
+        m_driver->m_offer_budget.OnCompleted(m_driver->m_loop->Now());
         m_loan = response.loan;
         Deliver(std::move(response.replies));
         return;
@@ -159,7 +166,7 @@
         }
         return;
       case RunOutcome::kNoConnection:
-        OfferAgain(response.cause, kMaxOffersWithoutConnection);
+        OnNoConnection(response.cause);
         return;
       case RunOutcome::kConnectionLost:
         m_loan = 0;
@@ -168,6 +175,19 @@
     }
   }
 
+  void OnNoConnection(const std::string& cause) {
+    const absl::Time now = m_driver->m_loop->Now();
+    m_driver->m_full_until[{m_lender.id, m_target.id}] = now + kFullDuration;
+    const bool late = now - m_sent >= kLateRefusal;
+    if (late && !m_closed && m_offers < kMaxOffersWithoutConnection &&
+        m_driver->m_offer_budget.OnRefusedLate(now) !=
+            RepeatOutcome::kAllowed) {
+      Refuse(cause);
+      return;
+    }
+    OfferAgain(cause, kMaxOffersWithoutConnection);
+  }
+
   void OfferAgain(const std::string& cause, int max_offers) {
     if (m_closed) {
       return;
@@ -299,7 +319,7 @@
     const ListedTarget& target,
     const WorkspaceName& workspace,
     const std::function<void(Error)>& on_close) {
-  if (!Choose(target.group, workspace, {})) {
+  if (!Choose(target.group, target.id, workspace, {})) {
     return nullptr;
   }
   return std::make_unique<BorrowedLink<Link>>(
@@ -314,7 +334,7 @@
     const GroupName& group,
     absl::Duration timeout,
     std::function<void(Result<LenderPosition>)> done) {
-  const std::optional<Lender> lender = Choose(group, "", {});
+  const std::optional<Lender> lender = Choose(group, "", "", {});
   if (!lender) {
     m_loop->Post([done = std::move(done)]() {
       done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
@@ -342,6 +362,7 @@
 
 std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
     const GroupName& group,
+    const TargetId& target,
     const WorkspaceName& workspace,
     const std::set<InstanceId>& except) const {
   auto lenders = m_lenders.find(group);
@@ -359,12 +380,17 @@
       continue;
     }
     const auto avoided = m_avoided.find(lender.id);
-    if (avoided == m_avoided.end() || now >= avoided->second.until) {
+    const auto full = m_full_until.find({lender.id, target});
+    const absl::Time until = std::max(
+        avoided == m_avoided.end() ? absl::InfinitePast()
+                                   : avoided->second.until,
+        full == m_full_until.end() ? absl::InfinitePast() : full->second);
+    if (now >= until) {
       return lender;
     }
-    if (!chosen || avoided->second.until < chosen_until) {
+    if (!chosen || until < chosen_until) {
       chosen = lender;
-      chosen_until = avoided->second.until;
+      chosen_until = until;
     }
   }
   return chosen;
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "Source/decision/lender_plan.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_link.h"
@@ -74,11 +75,13 @@
     absl::Duration duration;
   };
 
-  // The preferred lender that is not in `except` and is not avoided. If all are
-  // avoided, the one whose avoidance ends first. Nothing if there is none. The
+  // The preferred lender that is not in `except`, is not avoided and has lately
+  // not been without a connection to `target`. If there is none, the one for
+  // which this ends first. Nothing if all are in `except`. The
   // statements of a workspace prefer the same lender of each data centre, where
   // they find its connections open.
   std::optional<Lender> Choose(const GroupName& group,
+                               const TargetId& target,
                                const WorkspaceName& workspace,
                                const std::set<InstanceId>& except) const;
   static std::vector<Lender> InOrderFor(const WorkspaceName& workspace,
@@ -97,6 +100,9 @@
   std::map<GroupName, std::vector<Lender>> m_neighbours;
   std::map<InstanceId, Avoided> m_avoided;
   std::set<InstanceId> m_suspected;  // Being checked.
+  std::map<std::pair<InstanceId, TargetId>, absl::Time> m_full_until;
+  // Of offers to further lenders after one that had no connection in time.
+  RepeatBudget m_offer_budget;
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Source/base/hash.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/gateway/gateway.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
@@ -18,10 +20,9 @@
 // Attempts for a statement that targets refuse or whose connection is lost;
 // more attempts would only add load.
 constexpr int kMaxAttempts = 12;
-// Delay before a statement that a busy target refused is sent again, and
-// between the later attempts of a requeued statement.
-constexpr absl::Duration kBusyRetryDelay = absl::Milliseconds(15);
-// A read without a reply is sent to another target after this delay or after
+// Delay between the later attempts of a requeued statement.
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(15);
+// A read without a reply is slow after this delay or after
 // kSlowReadLatencyFactor times the target's average latency, whichever is
 // longer.
 constexpr absl::Duration kMinSlowReadDelay = absl::Milliseconds(200);
@@ -570,6 +571,10 @@
       reply.position) {
     m_last_write_position = std::max(m_last_write_position, *reply.position);
   }
+  if (reply.code == ReplyCode::kComplete && !m_in_transaction &&
+      !m_request->writes) {
+    m_gateway->OnReadCompleted();
+  }
   LogDecision(reply.code == ReplyCode::kComplete
                   ? "complete"
                   : ReplyCodeName(reply.code).data(),
@@ -618,7 +623,7 @@
     // again.
     if (reply.code == ReplyCode::kBusy &&
         reply.state == TransactionState::kOpen) {
-      m_retry_timer = m_gateway->Loop()->RunAfter(kBusyRetryDelay, [this]() {
+      m_retry_timer = m_gateway->Loop()->RunAfter(NextBusyPause(), [this]() {
         if (m_request && m_connection != nullptr) {
           SendStatement();
         }
@@ -640,10 +645,16 @@
   } else {
     ReleaseConnection();
   }
-  Requeue(cause);
+  Requeue(cause, reply.code == ReplyCode::kBusy ? NextBusyPause()
+                                                : absl::ZeroDuration());
+}
+
+absl::Duration CallerSession::NextBusyPause() {
+  return BusyRetryPause(++m_request->busy_replies,
+                        StableHash(m_request->statement.id));
 }
 
-void CallerSession::Requeue(const std::string& cause) {
+void CallerSession::Requeue(const std::string& cause, absl::Duration pause) {
   TargetRequest& request = *m_request;
   request.last_failure = cause;
   m_slow_read_timer.reset();
@@ -652,7 +663,9 @@
     return;
   }
   m_retry_timer = m_gateway->Loop()->RunAfter(
-      request.attempts <= 1 ? absl::ZeroDuration() : kBusyRetryDelay, [this]() {
+      request.attempts <= 1 ? absl::ZeroDuration()
+                            : std::max(pause, kRetryDelay),
+      [this]() {
         if (m_request && m_connection == nullptr) {
           m_gateway->Enqueue(this);
         }
@@ -752,6 +765,12 @@
   if (!m_request || m_connection == nullptr || m_request->attempts >= 3) {
     return;
   }
+  // A read that may not be repeated waits for its answer.
+  if (!m_gateway->MayRepeatRead(
+          m_connection->pool, m_required_position,
+          m_gateway->Loop()->Now() - m_statement_sent_at)) {
+    return;
+  }
   LogDecision("repeated", "the read is slow");
   m_request->avoided_target = m_connection->pool->Target().id;
   DropConnection();
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -48,6 +48,7 @@
   absl::Time queue_deadline;
   absl::Time statement_deadline;
   int attempts = 0;
+  int busy_replies = 0;  // How often a target or lender was busy.
   // The target of an attempt that failed or was too slow; others are preferred.
   TargetId avoided_target;
   std::string last_failure;  // Why the last attempt was abandoned.
@@ -130,10 +131,13 @@
   void SendStatement();
   void OnReply(Reply reply);
   void OnNotRun(const Reply& reply);
+  // The pause before a statement that was refused as busy is sent again.
+  absl::Duration NextBusyPause();
   void OnConnectionLost(const Error& error);
   void OnTimeout();
   void OnSlowRead();
-  void Requeue(const std::string& cause);
+  void Requeue(const std::string& cause,
+               absl::Duration pause = absl::ZeroDuration());
   // Drops the connection and tells the caller that the transaction was aborted.
   void AbortTransaction(const std::string& cause,
                         absl::Duration retry_after = kDefaultRetryAfter);
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -424,6 +424,26 @@
          (!position || term == 0 || position->term >= term);
 }
 
+bool Gateway::MayRepeatRead(const TargetPool* pool,
+                            std::optional<Position> required,
+                            absl::Duration waited) {
+  const absl::Time now = m_loop->Now();
+  std::optional<absl::Duration> fastest;
+  for (const auto& [id, other] : m_groups[pool->Target().group].pools) {
+    const std::optional<absl::Duration> latency = other->KnownLatency();
+    if (other.get() != pool && latency && !other->Target().draining &&
+        !other->OpeningFails() &&
+        (!required || other->MayHavePosition(*required, now)) &&
+        (!fastest || *latency < *fastest)) {
+      fastest = latency;
+    }
+  }
+  const RepeatOutcome outcome =
+      m_repeat_budget.OnSlowRead(waited, fastest, now);
+  m_metrics->Count(absl::StrCat("slow_reads/", RepeatOutcomeName(outcome)));
+  return outcome == RepeatOutcome::kAllowed;
+}
+
 const GroupLeader& Gateway::Leader(const GroupName& group) const {
   return m_leadership->View().Leader(group);
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -15,6 +15,7 @@
 
 #include "Source/base/decision_log.h"
 #include "Source/base/metrics.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/decision/workspace_access.h"
 #include "Source/gateway/borrowing_driver.h"
 #include "Source/gateway/caller_session.h"
@@ -106,6 +107,12 @@
   // `position` is the one that the primary's reply to the commit showed.
   bool MayAcknowledgeCommit(const TargetPool* pool,
                             const std::optional<Position>& position) const;
+  // Whether the read that `pool` has not answered for `waited` is run again at
+  // another target, which has to know `required`.
+  bool MayRepeatRead(const TargetPool* pool,
+                     std::optional<Position> required,
+                     absl::Duration waited);
+  void OnReadCompleted() { m_repeat_budget.OnCompleted(m_loop->Now()); }
   const GroupLeader& Leader(const GroupName& group) const;
   void OnNotPrimaryReply(const TargetPool* pool);
   void RecordPrimaryReply(const TargetPool* pool,
@@ -213,6 +220,7 @@
   BorrowingDriver* m_borrowing = nullptr;
   ConnectionLender* m_lender = nullptr;
   QuotaGate* m_quota = nullptr;
+  RepeatBudget m_repeat_budget;
   Configuration m_configuration;
   WorkspaceAccess m_access;  // Has the keys of m_configuration.
   std::map<GroupName, Group> m_groups;
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -38,6 +38,9 @@
 constexpr absl::Duration kOnDemandIdleTimeout = absl::Milliseconds(150);
 // Weight of the newest sample in the moving average of the latency.
 constexpr double kLatencyWeight = 0.15;
+// An instance of the larger deployment sends a read to each target every two
+// seconds. After five times that, the latency seen says little.
+constexpr absl::Duration kLatencyLifetime = absl::Seconds(10);
 
 }  // namespace
 
@@ -371,6 +374,8 @@
                            if (measures_latency) {
                              m_latency = (1 - kLatencyWeight) * m_latency +
                                          kLatencyWeight * (now - send_time);
+                             m_latest_latency = now - send_time;
+                             m_latest_latency_at = now;
                            }
                            on_reply(std::move(reply));
                          });
@@ -467,6 +472,20 @@
                        [](const auto& candidate) { return candidate->open; });
 }
 
+std::optional<absl::Duration> TargetPool::KnownLatency() const {
+  const absl::Time now = m_loop->Now();
+  if (now - m_latest_latency_at > kLatencyLifetime) {
+    return std::nullopt;
+  }
+  absl::Duration latency = std::max(m_latency, m_latest_latency);
+  for (const auto& connection : m_connections) {
+    if (connection->unanswered_since) {
+      latency = std::max(latency, now - *connection->unanswered_since);
+    }
+  }
+  return latency;
+}
+
 absl::Time TargetPool::OldestUnansweredTime() const {
   absl::Time oldest = absl::InfiniteFuture();
   for (const auto& connection : m_connections) {
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -116,6 +116,10 @@
   // replied. A refusal for too many connections does not count.
   bool OpeningFails() const { return m_consecutive_open_failures > 0; }
   absl::Duration Latency() const { return m_latency; }
+  // What a statement sent now is known to take: the average, the latest reply
+  // or the age of a command that has no reply yet, whichever is longest.
+  // Nothing if no statement was answered lately.
+  std::optional<absl::Duration> KnownLatency() const;
   // The target has refused a read because its log lacks `missing_position`. It
   // gets no read that requires it for a time that doubles with each refusal.
   void MarkLagging(Position missing_position);
@@ -153,6 +157,9 @@
   absl::Time m_over_limit_at = absl::InfinitePast();
   int m_consecutive_open_failures = 0;
   absl::Duration m_latency;
+  // Of the latest reply to a statement, and when it came.
+  absl::Duration m_latest_latency;
+  absl::Time m_latest_latency_at = absl::InfinitePast();
   Position m_missing_position;
   absl::Time m_lagging_until = absl::InfinitePast();
   absl::Duration m_lagging_delay;
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -67,13 +67,66 @@
 TEST_CASE_FIXTURE(SessionFixture,
                   "CallerSession_SlowRead_ClosesConnectionBeforeRetry") {
   Open("views");
+  ReadAtEachTarget();
   RunStatement(StatementKind::kRead, "READ k");
+  REQUIRE(m_driver.sent.size() == 1);
   const int connection = m_driver.sent[0].connection;
   m_loop.RunFor(absl::Milliseconds(400));
   CHECK(m_driver.Closed(connection));
   CHECK(m_driver.sent.size() >= 2);
 }
 
+// Guards against reads that are run again when every target may be as slow.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_SlowRead_NoFasterTargetKnown_WaitsForReply") {
+  Open("views");
+  RunStatement(StatementKind::kRead, "READ k");
+  m_loop.RunFor(absl::Milliseconds(800));
+  CHECK(m_driver.sent.size() == 1);
+  CHECK(m_metrics.Counters()["slow_reads/no_faster_target"] == 1);
+  ReplyToOldest(ReplyCode::kComplete);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_SlowReads_BudgetUsedUp_WaitForReply") {
+  Open("views");
+  ReadAtEachTarget();
+  RunStatement(StatementKind::kRead, "READ k");
+  m_loop.RunFor(absl::Milliseconds(300));
+  REQUIRE(m_driver.sent.size() == 2);
+  m_driver.sent.pop_front();
+  ReplyToOldest(ReplyCode::kComplete);
+  REQUIRE(m_metrics.Counters()["slow_reads/allowed"] == 1);
+  RunStatement(StatementKind::kRead, "READ k");
+  m_loop.RunFor(absl::Milliseconds(300));
+  CHECK(m_driver.sent.size() == 1);
+  CHECK(m_metrics.Counters()["slow_reads/budget_used_up"] == 1);
+  ReplyToOldest(ReplyCode::kComplete);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+}
+
+// Guards against a crowd's refused statements that return every 15 ms.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_TargetsStayBusy_AttemptsBecomeRarer") {
+  Open("views");
+  RunStatement(StatementKind::kRead, "READ k");
+  int attempts = 0;
+  for (int ms = 0; ms < 600 && m_caller.replies.empty(); ++ms) {
+    while (!m_driver.sent.empty()) {
+      ++attempts;
+      Reply reply;
+      reply.code = ReplyCode::kBusy;
+      const ScriptedDriver::SentCommand sent = m_driver.sent.front();
+      m_driver.sent.pop_front();
+      sent.on_reply(reply);
+    }
+    m_loop.RunFor(absl::Milliseconds(1));
+  }
+  CHECK(attempts >= 4);
+  CHECK(attempts <= 7);
+}
+
 TEST_CASE_FIXTURE(SessionFixture,
                   "CallerSession_BoundedStalenessRead_RequiresKnownPosition") {
   Open("views");
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -366,6 +366,16 @@
   void Run(absl::Duration time = absl::Milliseconds(200)) {
     m_fleet.loop.RunFor(time);
   }
+  // Opens a transaction on each of a lender's connections.
+  void HoldAllConnections(const InstanceId& lender) {
+    for (uint64_t request = 1; request <= 8; ++request) {
+      TargetCommand begin;
+      begin.kind = StatementKind::kBegin;
+      m_fleet.instances.at(lender)->lender.OnRun(
+          {"g", "db", "", 0, {begin}, request}, [](const RunResponse&) {});
+    }
+    Run(absl::Milliseconds(300));
+  }
   int Count(const std::string& id) const {
     int count = 0;
     for (const auto& ran : m_fleet.database.ran) {
@@ -597,6 +607,46 @@
   CHECK(Count("r1") == 0);
 }
 
+// Guards against a crowd whose statements are each offered to one lender after
+// the other, although no lender can have a free connection.
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_AllConnectionsInUse_OffersDoNotMultiply") {
+  for (const InstanceId& id : m_fleet.lenders) {
+    HoldAllConnections(id);
+  }
+  for (size_t i = 0; i < 30; ++i) {
+    Caller& caller = Open(i % 10);
+    Send(&caller, StatementKind::kRead, "r");
+  }
+  Run(absl::Seconds(2));
+  CHECK(m_fleet.runs == 30);
+  for (const auto& caller : m_callers) {
+    REQUIRE(caller->replies.size() == 1);
+    CHECK(caller->replies[0].code == ReplyCode::kBusy);
+  }
+}
+
+// One lender whose connections are all in use must not hold up the statements
+// that another lender can serve.
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_OneLenderHasNoFreeConnection_AnotherOneServes") {
+  Caller& first = Open(0);
+  Send(&first, StatementKind::kRead, "r");
+  Run(absl::Seconds(5));
+  HoldAllConnections(m_fleet.lenders[0]);
+  Caller& late = Open(0);
+  Send(&late, StatementKind::kRead, "r");
+  Run(absl::Milliseconds(300));
+  REQUIRE(late.replies.size() == 1);
+  CHECK(late.replies[0].code == ReplyCode::kComplete);
+  // The next statement does not wait at the full lender.
+  Caller& next = Open(0);
+  Send(&next, StatementKind::kRead, "r");
+  Run(absl::Milliseconds(50));
+  REQUIRE(next.replies.size() == 1);
+  CHECK(next.replies[0].code == ReplyCode::kComplete);
+}
+
 TEST_CASE_FIXTURE(LendingFixture,
                   "Lending_NoConnectionToLender_AnotherLenderServes") {
   m_fleet.unconnected.insert(m_fleet.lenders[0]);
--- a/Tests/gateway/session_fixture.h
+++ b/Tests/gateway/session_fixture.h
@@ -230,6 +230,20 @@
     m_loop.RunFor(absl::Milliseconds(60));
   }
 
+  // Lets each target answer reads in 20 ms, and lets the budget of repetitions
+  // fill for one.
+  void ReadAtEachTarget() {
+    std::set<TargetId> read_at;
+    for (int i = 0; i < 12 && read_at.size() < 3; ++i) {
+      RunStatement(StatementKind::kRead, "READ k");
+      REQUIRE(m_driver.sent.size() == 1);
+      read_at.insert(m_driver.sent[0].target);
+      ReplyToOldest(ReplyCode::kComplete);
+    }
+    REQUIRE(read_at.size() == 3);
+    m_loop.RunFor(absl::Milliseconds(4500));
+  }
+
   const Reply& LastReply() const { return m_caller.replies.back(); }
 
   VirtualLoop m_loop;
