--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -13,8 +13,10 @@
 namespace heatherwick {
 namespace {
 
-// Longer than any statement's timeout, which the session watches itself.
+// Of a command without a deadline. The session watches a statement's timeout
+// itself; the call may take longer by the margin.
 constexpr absl::Duration kRunTimeout = absl::Seconds(4);
+constexpr absl::Duration kRunTimeoutMargin = absl::Seconds(1);
 // A lender that failed is avoided for a time that doubles with each failure.
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(8);
@@ -25,6 +27,9 @@
 // If there is no free connection, the target is overloaded more likely than its
 // lender.
 constexpr int kMaxOffersWithoutConnection = 3;
+// If a lender expects that it cannot serve the commands in time, the backlog is
+// the target's most likely. One more is asked.
+constexpr int kMaxOffersBeyondBacklog = 2;
 // A request that a lender held for this long before it refused it was late
 // there. A budget limits how often such a request is offered again.
 constexpr absl::Duration kLateRefusal = absl::Milliseconds(50);
@@ -103,6 +108,7 @@
     m_running = std::exchange(m_queue, {});
     m_offers = 0;
     m_refused_by.clear();
+    m_retry_after = absl::InfiniteDuration();
     Offer();
   }
 
@@ -121,13 +127,23 @@
     m_in_flight = true;
     m_sent = m_driver->m_loop->Now();
     m_request = m_driver->m_next_request++;
-    RunQuery query{m_target.group, m_target.id, m_workspace,
-                   m_loan,         {},          m_request};
+    const WaitTerms& terms = m_running.front().command.terms;
+    RunQuery query{m_target.group, m_target.id, m_workspace, m_loan, {},
+                   m_request,      {}};
+    if (terms.wait_until != absl::InfiniteFuture()) {
+      query.terms = {terms.priority, terms.objective - m_sent,
+                     terms.wait_until - m_sent};
+    }
+    const absl::Duration timeout =
+        terms.deadline == absl::InfiniteFuture()
+            ? kRunTimeout
+            : std::max(kRunTimeout,
+                       terms.deadline - m_sent + kRunTimeoutMargin);
     for (const Entry& entry : m_running) {
       query.commands.push_back(entry.command);
     }
     m_driver->m_transport->Run(
-        m_lender.address, query, kRunTimeout,
+        m_lender.address, query, timeout,
         [self = shared_from_this()](Result<RunResponse> answer) {
           self->OnAnswer(std::move(answer));
         });
@@ -166,7 +182,7 @@
         }
         return;
       case RunOutcome::kNoConnection:
-        OnNoConnection(response.cause);
+        OnNoConnection(response);
         return;
       case RunOutcome::kConnectionLost:
         m_loan = 0;
@@ -175,17 +191,22 @@
     }
   }
 
-  void OnNoConnection(const std::string& cause) {
+  void OnNoConnection(const RunResponse& response) {
     const absl::Time now = m_driver->m_loop->Now();
     m_driver->m_full_until[{m_lender.id, m_target.id}] = now + kFullDuration;
     const bool late = now - m_sent >= kLateRefusal;
     if (late && !m_closed && m_offers < kMaxOffersWithoutConnection &&
-        m_driver->m_offer_budget.OnRefusedLate(now) !=
-            RepeatOutcome::kAllowed) {
-      Refuse(cause);
+        !m_driver->MayOfferAgain()) {
+      Refuse(response.cause, response.retry_after);
       return;
     }
-    OfferAgain(cause, kMaxOffersWithoutConnection);
+    // A lender that did not expect to be late may serve a later attempt.
+    m_retry_after = response.retry_after && m_retry_after
+                        ? std::min(*m_retry_after, *response.retry_after)
+                        : std::optional<absl::Duration>();
+    OfferAgain(response.cause, response.retry_after
+                                   ? kMaxOffersBeyondBacklog
+                                   : kMaxOffersWithoutConnection);
   }
 
   void OfferAgain(const std::string& cause, int max_offers) {
@@ -196,7 +217,9 @@
     if (m_offers < max_offers) {
       Offer();
     } else {
-      Refuse(cause);
+      Refuse(cause, m_retry_after != absl::InfiniteDuration()
+                        ? m_retry_after
+                        : std::optional<absl::Duration>());
     }
   }
 
@@ -216,9 +239,11 @@
   }
 
   // Answers the first of the running commands, of which none has run.
-  void Refuse(const std::string& cause) {
+  void Refuse(const std::string& cause,
+              std::optional<absl::Duration> retry_after = {}) {
     Reply reply;
     reply.code = ReplyCode::kBusy;
+    reply.retry_after = retry_after;
     reply.error_text = absl::StrCat("no lender ran the statement: ", cause);
     Deliver({std::move(reply)});
   }
@@ -244,6 +269,9 @@
   bool m_closed = false;
   int m_offers = 0;
   std::set<InstanceId> m_refused_by;  // Lenders that refused the commands.
+  // The earliest of the times to return that these lenders named; nothing if
+  // one of them named none.
+  std::optional<absl::Duration> m_retry_after;
   absl::Time m_sent;
   Lender m_lender;         // Of the loan or of the latest offer.
   uint64_t m_request = 0;  // Of the call in flight.
@@ -396,6 +424,14 @@
   return chosen;
 }
 
+bool BorrowingDriver::MayOfferAgain() {
+  const RepeatOutcome outcome = m_offer_budget.OnRefusedLate(m_loop->Now());
+  if (m_metrics != nullptr) {
+    m_metrics->Count(absl::StrCat("late_offers/", RepeatOutcomeName(outcome)));
+  }
+  return outcome == RepeatOutcome::kAllowed;
+}
+
 void BorrowingDriver::Suspect(const Lender& lender, const GroupName& group) {
   if (!m_suspected.insert(lender.id).second) {
     return;
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "Source/base/metrics.h"
 #include "Source/decision/lender_plan.h"
 #include "Source/decision/repeat_budget.h"
 #include "Source/gateway/event_loop.h"
@@ -37,6 +38,9 @@
                   LendingTransport* transport,
                   uint64_t incarnation);
 
+  // Without this, nothing is counted.
+  void SetMetrics(Metrics* metrics) { m_metrics = metrics; }
+
   // The lenders of a group in order of preference; empty if this instance has
   // connections of its own.
   void SetLenders(const GroupName& group, std::vector<Lender> lenders);
@@ -88,6 +92,9 @@
                                         std::vector<Lender> lenders);
   void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
   void Avoid(const Lender& lender, const std::string& cause);
+  // Whether commands that a lender had no connection for in time are offered to
+  // another one.
+  bool MayOfferAgain();
   // Checks whether a lender still answers, and avoids it if not. A statement
   // that takes long may be due to the target.
   void Suspect(const Lender& lender, const GroupName& group);
@@ -95,6 +102,7 @@
   EventLoop* const m_loop;
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
+  Metrics* m_metrics = nullptr;
   uint64_t m_next_request;
   std::map<GroupName, std::vector<Lender>> m_lenders;
   std::map<GroupName, std::vector<Lender>> m_neighbours;
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -33,6 +33,10 @@
 // is refused; the rest of the timeout lets the caller try another instance.
 constexpr double kQueueTimeoutFraction = 0.7;
 
+// Targets at which a read is tried although lenders expect that they cannot
+// serve it in time. A group has three targets.
+constexpr int kMaxBackloggedTargets = 3;
+
 // Starts the error text for callers whose statement did not run.
 std::string RetryHint(
     absl::Duration retry_after = CallerSession::kDefaultRetryAfter) {
@@ -367,6 +371,7 @@
       [this](const QuotaGate::Decision& decision) {
         m_quota_ticket.reset();
         if (!decision.admitted) {
+          m_gateway->GetMetrics()->Count("refusals/quota");
           Refuse(ReplyCode::kBusy,
                  decision.used_up ? "the workspace's quota is used up"
                                   : "the workspace's quota is not known now",
@@ -437,6 +442,7 @@
   const bool chained = m_connection->link->Borrowed();
   auto pending = std::make_shared<size_t>(setup.size());
   for (TargetCommand& command : setup) {
+    command.terms = Terms();
     pool->Send(
         m_connection, std::move(command),
         [this, pending, chained, alive = m_alive](const Reply& reply) {
@@ -473,11 +479,18 @@
   }
 }
 
+WaitTerms CallerSession::Terms() const {
+  return {m_request->route.priority,
+          m_request->arrival_time + m_request->route.latency_objective,
+          m_request->queue_deadline, m_request->statement_deadline};
+}
+
 void CallerSession::SendBegin() {
   TargetCommand command;
   command.kind =
       m_read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
   command.required_position = m_required_position;
+  command.terms = Terms();
   const bool chained = m_connection->link->Borrowed();
   m_connection->pool->Send(
       m_connection, command,
@@ -506,6 +519,7 @@
   command.kind = statement.kind;
   command.text = statement.text;
   command.argument = statement.argument;
+  command.terms = Terms();
   if (statement.kind == StatementKind::kExecute) {
     command.name = m_prepared.at(statement.name).target_name;
   }
@@ -643,8 +657,18 @@
     m_begun_at_target = false;
     m_wrote = false;
   } else {
+    if (reply.retry_after) {
+      m_request->avoided_target = pool->Target().id;
+    }
     ReleaseConnection();
   }
+  // Other targets may serve a read.
+  if (reply.retry_after &&
+      (m_at_primary || m_request->attempts >= kMaxBackloggedTargets)) {
+    m_gateway->GetMetrics()->Count("refusals/lender_backlog");
+    Refuse(ReplyCode::kBusy, cause, *reply.retry_after);
+    return;
+  }
   Requeue(cause, reply.code == ReplyCode::kBusy ? NextBusyPause()
                                                 : absl::ZeroDuration());
 }
@@ -659,6 +683,7 @@
   request.last_failure = cause;
   m_slow_read_timer.reset();
   if (request.attempts >= kMaxAttempts) {
+    m_gateway->GetMetrics()->Count("refusals/attempts");
     Refuse(ReplyCode::kBusy, cause);
     return;
   }
@@ -743,6 +768,7 @@
   }
   const std::string cause = "the statement timed out";
   if (m_connection == nullptr) {
+    m_gateway->GetMetrics()->Count("refusals/statement_timeout");
     Refuse(ReplyCode::kBusy, cause);
     return;
   }
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -130,6 +130,8 @@
   void SendBegin();
   void SendStatement();
   void OnReply(Reply reply);
+  // The terms on which the statement waits for a connection.
+  WaitTerms Terms() const;
   void OnNotRun(const Reply& reply);
   // The pause before a statement that was refused as busy is sent again.
   absl::Duration NextBusyPause();
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -4,13 +4,16 @@
 #include "Source/gateway/connection_lender.h"
 
 #include <algorithm>
+#include <tuple>
 
+#include "Source/base/hash.h"
 #include "absl/strings/str_cat.h"
 
 namespace heatherwick {
 namespace {
 
-// A borrower that waits longer is refused, so that it can ask another lender.
+// A request that waits longer is refused, so that its borrower can ask another
+// lender, unless this lender expects to serve it in time.
 constexpr absl::Duration kMaxWait = absl::Milliseconds(250);
 // With more requests waiting for a target, a new one is refused at once.
 constexpr size_t kMaxWaiting = 64;
@@ -39,6 +42,13 @@
   *m_alive = false;
 }
 
+// Counts refused and withdrawn requests by cause.
+void ConnectionLender::Count(absl::string_view cause) const {
+  if (m_metrics != nullptr) {
+    m_metrics->Count(absl::StrCat("lender_refusals/", cause));
+  }
+}
+
 void ConnectionLender::Refuse(const Answer& answer,
                               const std::string& cause,
                               RunOutcome outcome) {
@@ -76,26 +86,119 @@
     Refuse(answer, "this instance does not lend connections to the target");
     return;
   }
-  std::list<Request>& waiting = m_waiting[key];
+  Queue& queue = m_waiting[key];
+  std::list<Request>& waiting = queue.requests;
   const size_t same_workspace = std::count_if(
       waiting.begin(), waiting.end(), [&query](const Request& request) {
         return request.query.workspace == query.workspace;
       });
   if (waiting.size() >= kMaxWaiting ||
       (!query.workspace.empty() && same_workspace >= kMaxWaitingOfWorkspace)) {
+    Count("queue_full");
     Refuse(answer, "too many requests wait for a connection",
            RunOutcome::kNoConnection);
     return;
   }
-  waiting.push_back({std::move(query), std::move(answer), nullptr});
-  const auto request = std::prev(waiting.end());
-  request->wait_timer = m_loop->RunAfter(kMaxWait, [this, key, request]() {
-    const Answer refused = std::move(request->answer);
-    m_waiting[key].erase(request);
-    Refuse(refused, "no connection was free in time",
+  const absl::Time now = m_loop->Now();
+  WaitTerms terms;
+  if (query.terms) {
+    terms.priority = query.terms->priority;
+    terms.objective = now + query.terms->objective;
+    terms.wait_until = now + query.terms->wait;
+  }
+  if (now >= terms.wait_until) {
+    Count("deadline");
+    Refuse(answer, "the caller does not wait any longer",
            RunOutcome::kNoConnection);
-  });
+    return;
+  }
+  const uint64_t arrival = m_next_arrival++;
+  waiting.push_back(
+      {std::move(query), std::move(answer), arrival, terms, nullptr});
+  const auto request = std::prev(waiting.end());
+  StartWaiting(key, request);
   Serve(key);
+  // Serve() may have taken the request.
+  const auto found = std::find_if(
+      waiting.begin(), waiting.end(),
+      [arrival](const Request& other) { return other.arrival == arrival; });
+  if (found != waiting.end()) {
+    RefuseHopeless(&queue, found);
+  }
+}
+
+void ConnectionLender::Sort(Queue* queue) {
+  const absl::Time now = m_loop->Now();
+  queue->requests.sort([now](const Request& first, const Request& second) {
+    if (CrowdAdmission::Precedes(first.terms, second.terms, now)) {
+      return true;
+    }
+    return !CrowdAdmission::Precedes(second.terms, first.terms, now) &&
+           first.arrival < second.arrival;
+  });
+  queue->admission.OnWaiting(queue->requests.size(), now);
+}
+
+void ConnectionLender::StartWaiting(const PoolKey& key, Entry request) {
+  request->wait_timer = m_loop->RunAfter(
+      std::min(kMaxWait, request->terms.wait_until - m_loop->Now()),
+      [this, key, request]() { OnWaited(key, request); });
+}
+
+void ConnectionLender::OnWaited(const PoolKey& key, Entry request) {
+  Queue& queue = m_waiting.at(key);
+  const absl::Time now = m_loop->Now();
+  if (RefuseHopeless(&queue, request)) {
+    return;
+  }
+  const std::optional<absl::Duration> wait =
+      queue.admission.ExpectedWait(Ahead(queue, request) + 1, now);
+  // Offered to another lender, the request would have to wait behind all that
+  // wait there.
+  if (request->query.terms && wait && now + *wait < request->terms.wait_until) {
+    StartWaiting(key, request);
+    return;
+  }
+  Count(now < request->terms.wait_until ? "no_connection" : "deadline");
+  RefuseWaiting(&queue, request, "no connection was free in time");
+}
+
+size_t ConnectionLender::Ahead(const Queue& queue, Entry request) {
+  return std::count_if(
+      queue.requests.begin(), std::list<Request>::const_iterator(request),
+      [&request](const Request& other) {
+        return other.query.workspace == request->query.workspace;
+      });
+}
+
+bool ConnectionLender::RefuseHopeless(Queue* queue, Entry request) {
+  const std::optional<absl::Duration> retry_after =
+      queue->admission.CheckHopeless(
+          Ahead(*queue, request), queue->requests.size(),
+          request->terms.wait_until,
+          StableHash(absl::StrCat(request->query.request)), m_loop->Now());
+  if (!retry_after) {
+    return false;
+  }
+  Count("backlog");
+  RefuseWaiting(queue, request, "the backlog is too long", retry_after);
+  return true;
+}
+
+void ConnectionLender::RefuseWaiting(
+    Queue* queue,
+    Entry request,
+    const std::string& cause,
+    std::optional<absl::Duration> retry_after) {
+  RunResponse response;
+  response.outcome = RunOutcome::kNoConnection;
+  response.cause = cause;
+  response.retry_after = retry_after;
+  // Owns the timer that may be running this.
+  const Request refused = std::move(*request);
+  queue->requests.erase(request);
+  Sort(queue);
+  refused.answer(std::move(response));
 }
 
 void ConnectionLender::OnPoolChanged(const TargetPool* pool) {
@@ -104,7 +207,7 @@
 
 void ConnectionLender::Serve(const PoolKey& key) {
   const auto waiting = m_waiting.find(key);
-  if (waiting == m_waiting.end() || waiting->second.empty()) {
+  if (waiting == m_waiting.end() || waiting->second.requests.empty()) {
     return;
   }
   TargetPool* const pool = m_find_pool(key.first, key.second);
@@ -113,7 +216,9 @@
   }
   // Workspaces whose oldest request found no connection; later ones wait too.
   std::map<WorkspaceName, size_t> unserved;
-  std::list<Request>& requests = waiting->second;
+  Queue& queue = waiting->second;
+  std::list<Request>& requests = queue.requests;
+  Sort(&queue);
   for (auto entry = requests.begin(); entry != requests.end();) {
     const auto request = entry++;
     const WorkspaceName workspace = request->query.workspace;
@@ -126,6 +231,7 @@
     if (connection != nullptr) {
       Request served = std::move(*request);
       requests.erase(request);
+      queue.admission.OnServed(m_loop->Now());
       StartLoan(connection, std::move(served));
     } else if (pool->OwnOpenCount() == 0 && pool->AtLimit()) {
       const Answer refused = std::move(request->answer);
@@ -136,6 +242,7 @@
       unserved[workspace] = 1;
     }
   }
+  queue.admission.OnWaiting(requests.size(), m_loop->Now());
   for (const auto& [workspace, count] : unserved) {
     pool->EnsureOpening(workspace, std::min(kMaxOpening, count));
   }
@@ -173,12 +280,17 @@
         if (!*alive || !m_loans.contains(id)) {
           return;
         }
-        if (reply.code == ReplyCode::kComplete) {
+        if (reply.code == ReplyCode::kComplete && !m_loans.at(id).cancelled) {
           RunNext(id);
           return;
         }
         Loan loan = std::move(m_loans.at(id));
         m_loans.erase(id);
+        if (reply.code == ReplyCode::kComplete) {
+          loan.connection->pool->Release(loan.connection);
+          Refuse(loan.answer, "the request was withdrawn");
+          return;
+        }
         loan.connection->pool->CloseAndNotify(loan.connection);
         Refuse(loan.answer, "the target refused to reset the connection");
       });
@@ -201,7 +313,7 @@
   Loan& loan = m_loans.at(id);
   const bool failed = reply.code != ReplyCode::kComplete;
   loan.replies.push_back(std::move(reply));
-  if (failed || loan.next == loan.query.commands.size()) {
+  if (failed || loan.cancelled || loan.next == loan.query.commands.size()) {
     Finish(id);
   } else {
     RunNext(id);
@@ -215,7 +327,7 @@
   const Answer answer = std::exchange(loan.answer, nullptr);
   const bool idle = response.replies.back().state == TransactionState::kIdle;
   TargetConnection* const connection = loan.connection;
-  if (idle || loan.returned) {
+  if (idle || loan.returned || loan.cancelled) {
     m_loans.erase(id);
     if (idle) {
       connection->pool->Release(connection);
@@ -261,7 +373,8 @@
 }
 
 void ConnectionLender::OnCancel(uint64_t request) {
-  for (auto& [key, waiting] : m_waiting) {
+  for (auto& [key, queue] : m_waiting) {
+    std::list<Request>& waiting = queue.requests;
     const auto found = std::find_if(waiting.begin(), waiting.end(),
                                     [request](const Request& waiter) {
                                       return waiter.query.request == request;
@@ -269,10 +382,19 @@
     if (found != waiting.end()) {
       const Answer answer = std::move(found->answer);
       waiting.erase(found);
+      Sort(&queue);
+      Count("withdrawn");
       Refuse(answer, "the request was withdrawn");
       return;
     }
   }
+  for (auto& [id, loan] : m_loans) {
+    if (loan.answer && loan.query.request == request) {
+      // The command that runs cannot be stopped; those after it can.
+      loan.cancelled = true;
+      return;
+    }
+  }
 }
 
 void ConnectionLender::EndIdleLoans(absl::Duration idle_limit) {
--- a/Source/gateway/connection_lender.h
+++ b/Source/gateway/connection_lender.h
@@ -10,12 +10,16 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "Source/base/metrics.h"
+#include "Source/decision/crowd_admission.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_pool.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
@@ -33,6 +37,9 @@
   ConnectionLender(EventLoop* loop, uint64_t incarnation, FindPool find_pool);
   ~ConnectionLender();
 
+  // Without this, nothing is counted.
+  void SetMetrics(Metrics* metrics) { m_metrics = metrics; }
+
   void OnRun(RunQuery query, Answer answer);
   void OnReturn(uint64_t loan);
   void OnCancel(uint64_t request);
@@ -49,8 +56,17 @@
   struct Request {
     RunQuery query;
     Answer answer;
+    uint64_t arrival = 0;  // Increases with each request.
+    WaitTerms terms;
     std::unique_ptr<Timer> wait_timer;
   };
+  // Requests for connections to one target, in the order of service as of the
+  // last change.
+  struct Queue {
+    std::list<Request> requests;
+    CrowdAdmission admission;
+  };
+  using Entry = std::list<Request>::iterator;
   struct Loan {
     TargetConnection* connection = nullptr;
     RunQuery query;   // The commands that run, or ran last.
@@ -58,10 +74,27 @@
     std::vector<Reply> replies;
     Answer answer;  // Empty while no commands run.
     bool returned = false;
+    bool cancelled = false;  // Nobody awaits the commands that run.
     absl::Time last_used;
   };
 
+  void Count(absl::string_view cause) const;
   void Serve(const PoolKey& key);
+  // Requests of the same workspace that are served before `request`. Those of
+  // other workspaces may be too, but need not.
+  static size_t Ahead(const Queue& queue, Entry request);
+  // To be called after each change of the queue.
+  void Sort(Queue* queue);
+  // Waits for as long as a request may at a time.
+  void StartWaiting(const PoolKey& key, Entry request);
+  // Keeps the request if it will be served in time, and refuses it otherwise.
+  void OnWaited(const PoolKey& key, Entry request);
+  void RefuseWaiting(Queue* queue,
+                     Entry request,
+                     const std::string& cause,
+                     std::optional<absl::Duration> retry_after = {});
+  // Refuses the request if it clearly cannot be served in time.
+  bool RefuseHopeless(Queue* queue, Entry request);
   void StartLoan(TargetConnection* connection, Request request);
   void Reset(uint64_t id);
   void RunNext(uint64_t id);
@@ -74,9 +107,11 @@
 
   EventLoop* const m_loop;
   const FindPool m_find_pool;
+  Metrics* m_metrics = nullptr;
   uint64_t m_next_loan;
   std::map<uint64_t, Loan> m_loans;
-  std::map<PoolKey, std::list<Request>> m_waiting;
+  std::map<PoolKey, Queue> m_waiting;
+  uint64_t m_next_arrival = 0;
   bool m_draining = false;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -60,6 +60,9 @@
 constexpr absl::Duration kRemoteLatencyPenalty = absl::Milliseconds(4);
 // Multiplies the primary's score so that reads prefer replicas.
 constexpr double kPrimaryLoadFactor = 1.5;
+// Between two log lines about statements of a group that are refused because of
+// its backlog.
+constexpr absl::Duration kBacklogLogInterval = absl::Seconds(1);
 // Limits the memory for names when callers keep preparing new shapes.
 constexpr size_t kMaxPreparedNames = 10000;
 
@@ -87,6 +90,8 @@
 void Gateway::SetLending(BorrowingDriver* borrowing, ConnectionLender* lender) {
   m_borrowing = borrowing;
   m_lender = lender;
+  m_borrowing->SetMetrics(m_metrics);
+  m_lender->SetMetrics(m_metrics);
 }
 
 void Gateway::Start() {
@@ -519,11 +524,16 @@
     CallerSession* const session = *entry;
     const auto next = std::next(entry);
     const TargetRequest* const request = session->WaitingRequest();
-    if (request == nullptr ||
-        ((now > request->arrival_time + request->route.latency_objective) ==
-             overdue &&
-         TryServe(name, group, session))) {
+    CrowdAdmission* const admission =
+        request != nullptr && NeedsPrimary(*request) ? &group->primary_admission
+                                                     : &group->any_admission;
+    if (request == nullptr) {
       group->waiting.erase(entry);
+    } else if ((now > request->arrival_time +
+                          request->route.latency_objective) == overdue &&
+               TryServe(name, group, session)) {
+      group->waiting.erase(entry);
+      admission->OnServed(now);
     }
     entry = next;
   }
@@ -535,9 +545,70 @@
   // served before those that cannot.
   ServeWaiting(name, &group, false);
   ServeWaiting(name, &group, true);
+  RefuseHopeless(name, &group);
   CheckQuiesced(name, &group);
 }
 
+bool Gateway::NeedsPrimary(const TargetRequest& request) {
+  return request.writes || request.read_write_transaction ||
+         request.route.consistency == Consistency::kCurrent;
+}
+
+void Gateway::RefuseHopeless(const GroupName& name, Group* group) {
+  const absl::Time now = m_loop->Now();
+  size_t waiting_for_primary = 0;
+  for (CallerSession* session : group->waiting) {
+    const TargetRequest* const request = session->WaitingRequest();
+    waiting_for_primary += request != nullptr && NeedsPrimary(*request) ? 1 : 0;
+  }
+  const size_t waiting_for_any = group->waiting.size() - waiting_for_primary;
+  group->any_admission.OnWaiting(waiting_for_any, now);
+  group->primary_admission.OnWaiting(waiting_for_primary, now);
+  struct Refused {
+    CallerSession* session;
+    absl::Duration retry_after;
+  };
+  std::vector<Refused> refused;
+  // By whether the primary is needed, and by workspace: those of other
+  // workspaces may be served first, but need not.
+  std::map<std::pair<bool, WorkspaceName>, size_t> ahead;
+  // In the order of service. A refused statement is not ahead of others.
+  for (const bool overdue : {false, true}) {
+    for (CallerSession* session : group->waiting) {
+      const TargetRequest* const request = session->WaitingRequest();
+      if (request == nullptr ||
+          (now > request->arrival_time + request->route.latency_objective) !=
+              overdue) {
+        continue;
+      }
+      const bool needs_primary = NeedsPrimary(*request);
+      const CrowdAdmission& admission =
+          needs_primary ? group->primary_admission : group->any_admission;
+      size_t& before = ahead[{needs_primary, request->workspace}];
+      const std::optional<absl::Duration> retry_after = admission.CheckHopeless(
+          before, needs_primary ? waiting_for_primary : waiting_for_any,
+          request->queue_deadline, StableHash(request->statement.id), now);
+      if (retry_after) {
+        refused.push_back({session, *retry_after});
+      } else {
+        ++before;
+      }
+    }
+  }
+  if (!refused.empty() && now - group->backlog_logged >= kBacklogLogInterval) {
+    group->backlog_logged = now;
+    LOG(INFO) << "event=backlog group=" << name
+              << " waiting_for_primary=" << waiting_for_primary
+              << " waiting_for_any=" << waiting_for_any
+              << " refused=" << refused.size();
+  }
+  for (const auto& [session, retry_after] : refused) {
+    m_metrics->Count("refusals/backlog");
+    Dequeue(session);
+    session->Refuse(ReplyCode::kBusy, "the backlog is too long", retry_after);
+  }
+}
+
 TargetPool* Gateway::PrimaryPool(const GroupName& name) {
   const std::optional<TargetId> primary = m_leadership->UsablePrimary(name);
   if (!primary) {
@@ -551,9 +622,7 @@
                        Group* group,
                        CallerSession* session) {
   const TargetRequest& request = *session->WaitingRequest();
-  const bool any_target = !request.writes && !request.read_write_transaction &&
-                          request.route.consistency != Consistency::kCurrent;
-  if (!any_target) {
+  if (NeedsPrimary(request)) {
     return TryServeAtPrimary(name, group, session);
   }
   const absl::Time now = m_loop->Now();
@@ -721,10 +790,12 @@
     if (request != nullptr && lease_lost &&
         now >= request->arrival_time + kNoLeaseTimeout) {
       Dequeue(session);
+      m_metrics->Count("refusals/no_lease");
       session->Refuse(ReplyCode::kBusy, "the instance has no valid lease");
       session->CloseIdle();
     } else if (request != nullptr && now >= request->queue_deadline) {
       Dequeue(session);
+      m_metrics->Count("refusals/queue_deadline");
       session->Refuse(ReplyCode::kBusy, request->last_failure.empty()
                                             ? "no target was free in time"
                                             : request->last_failure);
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -15,6 +15,7 @@
 
 #include "Source/base/decision_log.h"
 #include "Source/base/metrics.h"
+#include "Source/decision/crowd_admission.h"
 #include "Source/decision/repeat_budget.h"
 #include "Source/decision/workspace_access.h"
 #include "Source/gateway/borrowing_driver.h"
@@ -163,6 +164,11 @@
   struct Group {
     std::map<TargetId, std::unique_ptr<TargetPool>> pools;
     std::list<CallerSession*> waiting;  // By priority, then arrival time.
+    // Of the waiting statements that must run at the primary and of those that
+    // any target may run.
+    CrowdAdmission primary_admission;
+    CrowdAdmission any_admission;
+    absl::Time backlog_logged = absl::InfinitePast();
     PrimaryPositionHistory position_history;
     uint64_t position_history_epoch = 0;
     // Connections are opened for a statement and closed soon after, because
@@ -192,6 +198,9 @@
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
   void ServeWaiting(const GroupName& name, Group* group, bool overdue);
+  static bool NeedsPrimary(const TargetRequest& request);
+  // Refuses the waiting statements that clearly cannot be served in time.
+  void RefuseHopeless(const GroupName& name, Group* group);
   bool TryServe(const GroupName& name, Group* group, CallerSession* session);
   bool TryServeAtPrimary(const GroupName& name,
                          Group* group,
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -193,7 +193,15 @@
                      request->workspace(),
                      request->loan(),
                      {},
-                     request->request()};
+                     request->request(),
+                     {}};
+      if (request->has_terms()) {
+        query.terms = {
+            request->terms().priority(),
+            absl::Microseconds(request->terms().objective_us()),
+            absl::Microseconds(request->terms().wait_us()),
+        };
+      }
       for (const proto::LentCommand& message : request->commands()) {
         std::optional<TargetCommand> command = ToCommand(message);
         if (!command) {
@@ -213,6 +221,8 @@
                 static_cast<proto::RunReply::Outcome>(response.outcome));
             reply->set_loan(response.loan);
             reply->set_cause(response.cause);
+            reply->set_retry_after_us(absl::ToInt64Microseconds(
+                response.retry_after.value_or(absl::ZeroDuration())));
             if (response.load) {
               proto::LentLoad* const load = reply->mutable_load();
               load->set_running(response.load->running);
@@ -533,6 +543,12 @@
   request.set_loan(query.loan);
   request.set_workspace(query.workspace);
   request.set_request(query.request);
+  if (query.terms) {
+    proto::WaitTerms* const terms = request.mutable_terms();
+    terms->set_priority(query.terms->priority);
+    terms->set_objective_us(absl::ToInt64Microseconds(query.terms->objective));
+    terms->set_wait_us(absl::ToInt64Microseconds(query.terms->wait));
+  }
   for (const TargetCommand& command : query.commands) {
     *request.add_commands() = ToMessage(command);
   }
@@ -554,6 +570,9 @@
         }
         response.loan = reply.loan();
         response.cause = reply.cause();
+        if (reply.retry_after_us() > 0) {
+          response.retry_after = absl::Microseconds(reply.retry_after_us());
+        }
         if (reply.has_load()) {
           response.load =
               TargetLoad{reply.load().running(), reply.load().waiting(),
--- a/Source/gateway/lending.h
+++ b/Source/gateway/lending.h
@@ -30,6 +30,14 @@
   // Identifies the query in Cancel(); different for all queries of all
   // instances.
   uint64_t request = 0;
+  // The terms on which the request waits for a connection, as of when it is
+  // sent. Nothing from a borrower of an earlier version.
+  struct Terms {
+    int priority = 0;
+    absl::Duration objective;  // Time left until the objective is missed.
+    absl::Duration wait;       // The longest wait that is of use.
+  };
+  std::optional<Terms> terms;
 };
 
 enum class RunOutcome {
@@ -44,6 +52,9 @@
   std::vector<Reply> replies;
   uint64_t loan = 0;  // Set while a transaction is open on the connection.
   std::string cause;  // Empty if the outcome is kDone.
+  // Set with kNoConnection if the request clearly cannot be served in the time
+  // that it may wait: when the caller should return.
+  std::optional<absl::Duration> retry_after;
   // What the lender knows of the target, whatever the outcome. Nothing from a
   // lender of an earlier version.
   std::optional<TargetLoad> load;
--- a/Source/gateway/statement.h
+++ b/Source/gateway/statement.h
@@ -10,6 +10,7 @@
 
 #include "Source/base/types.h"
 #include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 
 namespace heatherwick {
 
@@ -85,6 +86,9 @@
   std::string error_text;
   TransactionState state = TransactionState::kIdle;
   std::optional<Position> position;
+  // Set with kBusy if whoever refused the statement knows that it cannot be
+  // served in time: when the caller should return.
+  std::optional<absl::Duration> retry_after;
 };
 
 // A target's reply to a status query.
--- a/Source/gateway/target_link.h
+++ b/Source/gateway/target_link.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "Source/base/error.h"
+#include "Source/decision/crowd_admission.h"
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/statement.h"
 #include "absl/strings/string_view.h"
@@ -27,6 +28,8 @@
   std::string argument;
   // The target refuses the statement if its log lacks this position.
   std::optional<Position> required_position;
+  // For those who queue the command on its way; not sent to targets.
+  WaitTerms terms;
 };
 
 using ReplyHandler = std::function<void(Reply)>;
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -372,10 +372,33 @@
       TargetCommand begin;
       begin.kind = StatementKind::kBegin;
       m_fleet.instances.at(lender)->lender.OnRun(
-          {"g", "db", "", 0, {begin}, request}, [](const RunResponse&) {});
+          {"g", "db", "", 0, {begin}, request, {}},
+          [this](const RunResponse& response) {
+            if (response.loan != 0) {
+              m_held.push_back(response.loan);
+            }
+          });
     }
     Run(absl::Milliseconds(300));
   }
+  // Asks the first lender directly to run a read.
+  void Ask(const std::string& id, std::optional<RunQuery::Terms> terms) {
+    TargetCommand read;
+    read.id = id;
+    m_fleet.instances.at(m_fleet.lenders[0])
+        ->lender.OnRun({"g", "db", "", 0, {read}, 100 + m_asked++, terms},
+                       [this, id](RunResponse response) {
+                         m_answers[id] = std::move(response);
+                       });
+  }
+  // Occupies all connections of the first lender but one for long, and that one
+  // until `time` has passed.
+  void HoldConnectionsUntil(absl::Duration time) {
+    HoldAllConnections(m_fleet.lenders[0]);
+    m_fleet.loop.Add(time, [this]() {
+      m_fleet.instances.at(m_fleet.lenders[0])->lender.OnReturn(m_held.back());
+    });
+  }
   int Count(const std::string& id) const {
     int count = 0;
     for (const auto& ran : m_fleet.database.ran) {
@@ -394,6 +417,9 @@
   Fleet m_fleet;
   std::vector<Fleet::Instance*> m_borrowers;
   std::vector<std::unique_ptr<Caller>> m_callers;
+  std::vector<uint64_t> m_held;  // Loans of HoldAllConnections().
+  uint64_t m_asked = 0;
+  std::map<std::string, RunResponse> m_answers;  // To Ask().
 };
 
 TEST_CASE_FIXTURE(LendingFixture, "Lending_Statement_RunsOnceAndEndsTheLoan") {
@@ -570,14 +596,14 @@
 
 // A loan of an earlier run of the lender must not be taken for another one.
 TEST_CASE_FIXTURE(LendingFixture, "Lending_UnknownLoan_IsRefused") {
-  RunQuery query{"g", "db", "", 77, {{}}, 1};
+  RunQuery query{"g", "db", "", 77, {{}}, 1, {}};
   RunOutcome outcome = RunOutcome::kDone;
   m_fleet.instances.at(m_fleet.lenders[0])
       ->lender.OnRun(query, [&outcome](const RunResponse& response) {
         outcome = response.outcome;
       });
   CHECK(outcome == RunOutcome::kRefused);
-  query = {"g", "db", "", 0, {}, 2};
+  query = {"g", "db", "", 0, {}, 2, {}};
   m_fleet.instances.at(m_fleet.lenders[0])
       ->lender.OnRun(query, [&outcome](const RunResponse& response) {
         outcome = response.outcome;
@@ -647,6 +673,93 @@
   CHECK(next.replies[0].code == ReplyCode::kComplete);
 }
 
+// Guards against a backlog that is served by arrival alone.
+TEST_CASE_FIXTURE(LendingFixture, "Lending_Backlog_UrgentStatementsGoFirst") {
+  HoldConnectionsUntil(absl::Milliseconds(100));
+  const absl::Duration second = absl::Seconds(1);
+  Ask("late", RunQuery::Terms{0, -second, second});
+  Ask("usual1", RunQuery::Terms{1, second, second});
+  Ask("usual2", RunQuery::Terms{1, second, second});
+  Ask("urgent", RunQuery::Terms{0, second, second});
+  Run(absl::Seconds(1));
+  std::vector<std::string> order;
+  for (const auto& ran : m_fleet.database.ran) {
+    order.push_back(ran.id);
+  }
+  CHECK(order ==
+        std::vector<std::string>{"urgent", "usual1", "usual2", "late"});
+}
+
+// Guards against work for callers that have been refused meanwhile.
+TEST_CASE_FIXTURE(LendingFixture, "Lending_CallerWaitsNoLonger_IsDropped") {
+  HoldConnectionsUntil(absl::Milliseconds(100));
+  Ask("short", RunQuery::Terms{0, absl::Seconds(1), absl::Milliseconds(60)});
+  Ask("over", RunQuery::Terms{0, absl::Seconds(1), absl::ZeroDuration()});
+  Ask("earlier version", {});
+  CHECK(m_answers["over"].outcome == RunOutcome::kNoConnection);
+  Run(absl::Milliseconds(70));
+  REQUIRE(m_answers.contains("short"));
+  CHECK(m_answers["short"].outcome == RunOutcome::kNoConnection);
+  Run(absl::Seconds(1));
+  CHECK(Count("short") == 0);
+  CHECK(Count("over") == 0);
+  CHECK(Count("earlier version") == 1);
+}
+
+// Replays a crowd at one lender with eight connections. Requests that were
+// refused after 250 ms, although they would have been served soon, were sent
+// again and queued behind others.
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_BacklogIsServed_RequestsKeepTheirPlaces") {
+  m_fleet.database.statement_time = absl::Milliseconds(34);
+  for (int i = 0; i < 60; ++i) {
+    Ask(absl::StrCat("r", i),
+        RunQuery::Terms{0, absl::Seconds(1), absl::Seconds(2)});
+  }
+  Run(absl::Seconds(2));
+  for (int i = 0; i < 60; ++i) {
+    CAPTURE(i);
+    CHECK(m_answers[absl::StrCat("r", i)].outcome == RunOutcome::kDone);
+  }
+}
+
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_BacklogCannotBeServed_IsRefusedWithTimeToReturn") {
+  m_fleet.database.statement_time = absl::Milliseconds(34);
+  for (int i = 0; i < 60; ++i) {
+    Ask(absl::StrCat("r", i),
+        RunQuery::Terms{0, absl::Seconds(1), absl::Seconds(1)});
+  }
+  Run(absl::Milliseconds(300));
+  REQUIRE_FALSE(m_answers.contains("r59"));
+  Ask("short", RunQuery::Terms{0, absl::Seconds(1), absl::Milliseconds(5)});
+  Ask("long", RunQuery::Terms{0, absl::Seconds(1), absl::Milliseconds(500)});
+  REQUIRE(m_answers.contains("short"));
+  CHECK(m_answers["short"].outcome == RunOutcome::kNoConnection);
+  REQUIRE(m_answers["short"].retry_after);
+  CHECK(*m_answers["short"].retry_after >= absl::Milliseconds(100));
+  Run(absl::Seconds(1));
+  CHECK(m_answers["long"].outcome == RunOutcome::kDone);
+}
+
+// Guards against work for a caller that has left: only the command that already
+// runs may end.
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_ClosedWhileChainRuns_LaterCommandsDoNotRun") {
+  Caller& warm = Open(0);
+  Send(&warm, StatementKind::kRead, "r");
+  Run();
+  Caller& caller = Open(0);
+  Send(&caller, StatementKind::kRead, "first");
+  Send(&caller, StatementKind::kRead, "second");
+  Run(absl::Milliseconds(5));
+  caller.link->Close();
+  Run(absl::Seconds(1));
+  CHECK(Count("first") == 1);
+  CHECK(Count("second") == 0);
+  CHECK(Loans() == 0);
+}
+
 TEST_CASE_FIXTURE(LendingFixture,
                   "Lending_NoConnectionToLender_AnotherLenderServes") {
   m_fleet.unconnected.insert(m_fleet.lenders[0]);
