--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -13,8 +13,10 @@
 namespace heatherwick {
 namespace {
 
-// Longer than any statement's timeout, which the session watches itself.
+// Of a command without a deadline. The session watches a statement's timeout
+// itself; the call may take longer by the margin.
 constexpr absl::Duration kRunTimeout = absl::Seconds(4);
+constexpr absl::Duration kRunTimeoutMargin = absl::Seconds(1);
 // A lender that failed is avoided for a time that doubles with each failure.
 constexpr absl::Duration kFirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration kLongestAvoidance = absl::Seconds(8);
@@ -23,8 +25,17 @@
 // Commands that no lender has run are offered to so many lenders.
 constexpr int kMaxOffers = 3;
 // If there is no free connection, the target is overloaded more likely than its
-// lender, and each offer waits for one.
+// lender.
 constexpr int kMaxOffersWithoutConnection = 3;
+// If a lender expects that it cannot serve the commands in time, the backlog is
+// the target's most likely. One more is asked.
+constexpr int kMaxOffersBeyondBacklog = 2;
+// A request that a lender held for this long before it refused it was late
+// there. A budget limits how often such a request is offered again.
+constexpr absl::Duration kLateRefusal = absl::Milliseconds(50);
+// A lender that had no connection is asked after the others for this time,
+// which is as long as a lender holds a request.
+constexpr absl::Duration kFullDuration = absl::Milliseconds(250);
 constexpr absl::Duration kLenderCheckTimeout = absl::Milliseconds(250);
 // A link that is closed while its lender has not answered for this long shows
 // that the lender may be gone.
@@ -97,14 +108,15 @@
     m_running = std::exchange(m_queue, {});
     m_offers = 0;
     m_refused_by.clear();
+    m_retry_after = absl::InfiniteDuration();
     Offer();
   }
 
   // Sends the running commands, to any lender if there is no loan.
   void Offer() {
     if (m_loan == 0) {
-      const std::optional<Lender> lender =
-          m_driver->Choose(m_target.group, m_workspace, m_refused_by);
+      const std::optional<Lender> lender = m_driver->Choose(
+          m_target.group, m_target.id, m_workspace, m_refused_by);
       if (!lender) {
         Refuse("the group has no lender");
         return;
@@ -115,13 +127,23 @@
     m_in_flight = true;
     m_sent = m_driver->m_loop->Now();
     m_request = m_driver->m_next_request++;
-    RunQuery query{m_target.group, m_target.id, m_workspace,
-                   m_loan,         {},          m_request};
+    const WaitTerms& terms = m_running.front().command.terms;
+    RunQuery query{m_target.group, m_target.id, m_workspace, m_loan, {},
+                   m_request,      {}};
+    if (terms.wait_until != absl::InfiniteFuture()) {
+      query.terms = {terms.priority, terms.objective - m_sent,
+                     terms.wait_until - m_sent};
+    }
+    const absl::Duration timeout =
+        terms.deadline == absl::InfiniteFuture()
+            ? kRunTimeout
+            : std::max(kRunTimeout,
+                       terms.deadline - m_sent + kRunTimeoutMargin);
     for (const Entry& entry : m_running) {
       query.commands.push_back(entry.command);
     }
     m_driver->m_transport->Run(
-        m_lender.address, query, kRunTimeout,
+        m_lender.address, query, timeout,
         [self = shared_from_this()](Result<RunResponse> answer) {
           self->OnAnswer(std::move(answer));
         });
@@ -145,6 +167,7 @@
     switch (response.outcome) {
       case RunOutcome::kDone:
         m_driver->OnAnswered(m_lender);
+        m_driver->m_offer_budget.OnCompleted(m_driver->m_loop->Now());
         m_loan = response.loan;
         Deliver(std::move(response.replies));
         return;
@@ -159,7 +182,7 @@
         }
         return;
       case RunOutcome::kNoConnection:
-        OfferAgain(response.cause, kMaxOffersWithoutConnection);
+        OnNoConnection(response);
         return;
       case RunOutcome::kConnectionLost:
         m_loan = 0;
@@ -168,6 +191,24 @@
     }
   }
 
+  void OnNoConnection(const RunResponse& response) {
+    const absl::Time now = m_driver->m_loop->Now();
+    m_driver->m_full_until[{m_lender.id, m_target.id}] = now + kFullDuration;
+    const bool late = now - m_sent >= kLateRefusal;
+    if (late && !m_closed && m_offers < kMaxOffersWithoutConnection &&
+        !m_driver->MayOfferAgain()) {
+      Refuse(response.cause, response.retry_after);
+      return;
+    }
+    // A lender that did not expect to be late may serve a later attempt.
+    m_retry_after = response.retry_after && m_retry_after
+                        ? std::min(*m_retry_after, *response.retry_after)
+                        : std::optional<absl::Duration>();
+    OfferAgain(response.cause, response.retry_after
+                                   ? kMaxOffersBeyondBacklog
+                                   : kMaxOffersWithoutConnection);
+  }
+
   void OfferAgain(const std::string& cause, int max_offers) {
     if (m_closed) {
       return;
@@ -176,7 +217,9 @@
     if (m_offers < max_offers) {
       Offer();
     } else {
-      Refuse(cause);
+      Refuse(cause, m_retry_after != absl::InfiniteDuration()
+                        ? m_retry_after
+                        : std::optional<absl::Duration>());
     }
   }
 
@@ -196,9 +239,11 @@
   }
 
   // Answers the first of the running commands, of which none has run.
-  void Refuse(const std::string& cause) {
+  void Refuse(const std::string& cause,
+              std::optional<absl::Duration> retry_after = {}) {
     Reply reply;
     reply.code = ReplyCode::kBusy;
+    reply.retry_after = retry_after;
     reply.error_text = absl::StrCat("no lender ran the statement: ", cause);
     Deliver({std::move(reply)});
   }
@@ -224,6 +269,9 @@
   bool m_closed = false;
   int m_offers = 0;
   std::set<InstanceId> m_refused_by;  // Lenders that refused the commands.
+  // The earliest of the times to return that these lenders named; nothing if
+  // one of them named none.
+  std::optional<absl::Duration> m_retry_after;
   absl::Time m_sent;
   Lender m_lender;         // Of the loan or of the latest offer.
   uint64_t m_request = 0;  // Of the call in flight.
@@ -299,7 +347,7 @@
     const ListedTarget& target,
     const WorkspaceName& workspace,
     const std::function<void(Error)>& on_close) {
-  if (!Choose(target.group, workspace, {})) {
+  if (!Choose(target.group, target.id, workspace, {})) {
     return nullptr;
   }
   return std::make_unique<BorrowedLink<Link>>(
@@ -314,7 +362,7 @@
     const GroupName& group,
     absl::Duration timeout,
     std::function<void(Result<LenderPosition>)> done) {
-  const std::optional<Lender> lender = Choose(group, "", {});
+  const std::optional<Lender> lender = Choose(group, "", "", {});
   if (!lender) {
     m_loop->Post([done = std::move(done)]() {
       done(Error{ErrorKind::kUnavailable, "the group has no lender", ""});
@@ -342,6 +390,7 @@
 
 std::optional<BorrowingDriver::Lender> BorrowingDriver::Choose(
     const GroupName& group,
+    const TargetId& target,
     const WorkspaceName& workspace,
     const std::set<InstanceId>& except) const {
   auto lenders = m_lenders.find(group);
@@ -359,17 +408,30 @@
       continue;
     }
     const auto avoided = m_avoided.find(lender.id);
-    if (avoided == m_avoided.end() || now >= avoided->second.until) {
+    const auto full = m_full_until.find({lender.id, target});
+    const absl::Time until = std::max(
+        avoided == m_avoided.end() ? absl::InfinitePast()
+                                   : avoided->second.until,
+        full == m_full_until.end() ? absl::InfinitePast() : full->second);
+    if (now >= until) {
       return lender;
     }
-    if (!chosen || avoided->second.until < chosen_until) {
+    if (!chosen || until < chosen_until) {
       chosen = lender;
-      chosen_until = avoided->second.until;
+      chosen_until = until;
     }
   }
   return chosen;
 }
 
+bool BorrowingDriver::MayOfferAgain() {
+  const RepeatOutcome outcome = m_offer_budget.OnRefusedLate(m_loop->Now());
+  if (m_metrics != nullptr) {
+    m_metrics->Count(absl::StrCat("late_offers/", RepeatOutcomeName(outcome)));
+  }
+  return outcome == RepeatOutcome::kAllowed;
+}
+
 void BorrowingDriver::Suspect(const Lender& lender, const GroupName& group) {
   if (!m_suspected.insert(lender.id).second) {
     return;
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -14,7 +14,9 @@
 #include <utility>
 #include <vector>
 
+#include "Source/base/metrics.h"
 #include "Source/decision/lender_plan.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_link.h"
@@ -36,6 +38,9 @@
                   LendingTransport* transport,
                   uint64_t incarnation);
 
+  // Without this, nothing is counted.
+  void SetMetrics(Metrics* metrics) { m_metrics = metrics; }
+
   // The lenders of a group in order of preference; empty if this instance has
   // connections of its own.
   void SetLenders(const GroupName& group, std::vector<Lender> lenders);
@@ -74,17 +79,22 @@
     absl::Duration duration;
   };
 
-  // The preferred lender that is not in `except` and is not avoided. If all are
-  // avoided, the one whose avoidance ends first. Nothing if there is none. The
+  // The preferred lender that is not in `except`, is not avoided and has lately
+  // not been without a connection to `target`. If there is none, the one for
+  // which this ends first. Nothing if all are in `except`. The
   // statements of a workspace prefer the same lender of each data centre, where
   // they find its connections open.
   std::optional<Lender> Choose(const GroupName& group,
+                               const TargetId& target,
                                const WorkspaceName& workspace,
                                const std::set<InstanceId>& except) const;
   static std::vector<Lender> InOrderFor(const WorkspaceName& workspace,
                                         std::vector<Lender> lenders);
   void OnAnswered(const Lender& lender) { m_avoided.erase(lender.id); }
   void Avoid(const Lender& lender, const std::string& cause);
+  // Whether commands that a lender had no connection for in time are offered to
+  // another one.
+  bool MayOfferAgain();
   // Checks whether a lender still answers, and avoids it if not. A statement
   // that takes long may be due to the target.
   void Suspect(const Lender& lender, const GroupName& group);
@@ -92,11 +102,15 @@
   EventLoop* const m_loop;
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
+  Metrics* m_metrics = nullptr;
   uint64_t m_next_request;
   std::map<GroupName, std::vector<Lender>> m_lenders;
   std::map<GroupName, std::vector<Lender>> m_neighbours;
   std::map<InstanceId, Avoided> m_avoided;
   std::set<InstanceId> m_suspected;  // Being checked.
+  std::map<std::pair<InstanceId, TargetId>, absl::Time> m_full_until;
+  // Of offers to further lenders after one that had no connection in time.
+  RepeatBudget m_offer_budget;
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Source/base/hash.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/gateway/gateway.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
@@ -18,10 +20,9 @@
 // Attempts for a statement that targets refuse or whose connection is lost;
 // more attempts would only add load.
 constexpr int kMaxAttempts = 12;
-// Delay before a statement that a busy target refused is sent again, and
-// between the later attempts of a requeued statement.
-constexpr absl::Duration kBusyRetryDelay = absl::Milliseconds(15);
-// A read without a reply is sent to another target after this delay or after
+// Delay between the later attempts of a requeued statement.
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(15);
+// A read without a reply is slow after this delay or after
 // kSlowReadLatencyFactor times the target's average latency, whichever is
 // longer.
 constexpr absl::Duration kMinSlowReadDelay = absl::Milliseconds(200);
@@ -32,6 +33,10 @@
 // is refused; the rest of the timeout lets the caller try another instance.
 constexpr double kQueueTimeoutFraction = 0.7;
 
+// Targets at which a read is tried although lenders expect that they cannot
+// serve it in time. A group has three targets.
+constexpr int kMaxBackloggedTargets = 3;
+
 // Starts the error text for callers whose statement did not run.
 std::string RetryHint(
     absl::Duration retry_after = CallerSession::kDefaultRetryAfter) {
@@ -367,6 +372,7 @@
       [this](const QuotaGate::Decision& decision) {
         m_quota_ticket.reset();
         if (!decision.admitted) {
+          m_gateway->GetMetrics()->Count("refusals/quota");
           Refuse(ReplyCode::kBusy,
                  decision.used_up ? "the workspace's quota is used up"
                                   : "the workspace's quota is not known now",
@@ -441,6 +447,7 @@
   const bool chained = m_connection->link->Borrowed();
   auto pending = std::make_shared<size_t>(setup.size());
   for (TargetCommand& command : setup) {
+    command.terms = Terms();
     pool->Send(
         m_connection, std::move(command),
         [this, pending, chained, alive = m_alive](const Reply& reply) {
@@ -477,11 +484,18 @@
   }
 }
 
+WaitTerms CallerSession::Terms() const {
+  return {m_request->route.priority,
+          m_request->arrival_time + m_request->route.latency_objective,
+          m_request->queue_deadline, m_request->statement_deadline};
+}
+
 void CallerSession::SendBegin() {
   TargetCommand command;
   command.kind =
       m_read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
   command.required_position = m_required_position;
+  command.terms = Terms();
   const bool chained = m_connection->link->Borrowed();
   m_connection->pool->Send(
       m_connection, command,
@@ -510,6 +524,7 @@
   command.kind = statement.kind;
   command.text = statement.text;
   command.argument = statement.argument;
+  command.terms = Terms();
   if (statement.kind == StatementKind::kExecute) {
     command.name = m_prepared.at(statement.name).target_name;
   }
@@ -575,6 +590,10 @@
       reply.position) {
     m_last_write_position = std::max(m_last_write_position, *reply.position);
   }
+  if (reply.code == ReplyCode::kComplete && !m_in_transaction &&
+      !m_request->writes) {
+    m_gateway->OnReadCompleted();
+  }
   LogDecision(reply.code == ReplyCode::kComplete
                   ? "complete"
                   : ReplyCodeName(reply.code).data(),
@@ -623,7 +642,7 @@
     // again.
     if (reply.code == ReplyCode::kBusy &&
         reply.state == TransactionState::kOpen) {
-      m_retry_timer = m_gateway->Loop()->RunAfter(kBusyRetryDelay, [this]() {
+      m_retry_timer = m_gateway->Loop()->RunAfter(NextBusyPause(), [this]() {
         if (m_request && m_connection != nullptr) {
           SendStatement();
         }
@@ -643,21 +662,40 @@
     m_begun_at_target = false;
     m_wrote = false;
   } else {
+    if (reply.retry_after) {
+      m_request->avoided_target = pool->Target().id;
+    }
     ReleaseConnection();
   }
-  Requeue(cause);
+  // Other targets may serve a read.
+  if (reply.retry_after &&
+      (m_at_primary || m_request->attempts >= kMaxBackloggedTargets)) {
+    m_gateway->GetMetrics()->Count("refusals/lender_backlog");
+    Refuse(ReplyCode::kBusy, cause, *reply.retry_after);
+    return;
+  }
+  Requeue(cause, reply.code == ReplyCode::kBusy ? NextBusyPause()
+                                                : absl::ZeroDuration());
+}
+
+absl::Duration CallerSession::NextBusyPause() {
+  return BusyRetryPause(++m_request->busy_replies,
+                        StableHash(m_request->statement.id));
 }
 
-void CallerSession::Requeue(const std::string& cause) {
+void CallerSession::Requeue(const std::string& cause, absl::Duration pause) {
   TargetRequest& request = *m_request;
   request.last_failure = cause;
   m_slow_read_timer.reset();
   if (request.attempts >= kMaxAttempts) {
+    m_gateway->GetMetrics()->Count("refusals/attempts");
     Refuse(ReplyCode::kBusy, cause);
     return;
   }
   m_retry_timer = m_gateway->Loop()->RunAfter(
-      request.attempts <= 1 ? absl::ZeroDuration() : kBusyRetryDelay, [this]() {
+      request.attempts <= 1 ? absl::ZeroDuration()
+                            : std::max(pause, kRetryDelay),
+      [this]() {
         if (m_request && m_connection == nullptr) {
           m_gateway->Enqueue(this);
         }
@@ -735,6 +773,7 @@
   }
   const std::string cause = "the statement timed out";
   if (m_connection == nullptr) {
+    m_gateway->GetMetrics()->Count("refusals/statement_timeout");
     Refuse(ReplyCode::kBusy, cause);
     return;
   }
@@ -757,6 +796,12 @@
   if (!m_request || m_connection == nullptr || m_request->attempts >= 3) {
     return;
   }
+  // A read that may not be repeated waits for its answer.
+  if (!m_gateway->MayRepeatRead(
+          m_connection->pool, m_required_position,
+          m_gateway->Loop()->Now() - m_statement_sent_at)) {
+    return;
+  }
   LogDecision("repeated", "the read is slow");
   m_request->avoided_target = m_connection->pool->Target().id;
   DropConnection();
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -15,6 +15,8 @@
 
 #include "Source/base/decision_log.h"
 #include "Source/base/metrics.h"
+#include "Source/decision/crowd_admission.h"
+#include "Source/decision/repeat_budget.h"
 #include "Source/decision/workspace_access.h"
 #include "Source/gateway/borrowing_driver.h"
 #include "Source/gateway/caller_session.h"
@@ -106,6 +108,12 @@
   // `position` is the one that the primary's reply to the commit showed.
   bool MayAcknowledgeCommit(const TargetPool* pool,
                             const std::optional<Position>& position) const;
+  // Whether the read that `pool` has not answered for `waited` is run again at
+  // another target, which has to know `required`.
+  bool MayRepeatRead(const TargetPool* pool,
+                     std::optional<Position> required,
+                     absl::Duration waited);
+  void OnReadCompleted() { m_repeat_budget.OnCompleted(m_loop->Now()); }
   const GroupLeader& Leader(const GroupName& group) const;
   void OnNotPrimaryReply(const TargetPool* pool);
   void RecordPrimaryReply(const TargetPool* pool,
@@ -156,6 +164,11 @@
   struct Group {
     std::map<TargetId, std::unique_ptr<TargetPool>> pools;
     std::list<CallerSession*> waiting;  // By priority, then arrival time.
+    // Of the waiting statements that must run at the primary and of those that
+    // any target may run.
+    CrowdAdmission primary_admission;
+    CrowdAdmission any_admission;
+    absl::Time backlog_logged = absl::InfinitePast();
     PrimaryPositionHistory position_history;
     uint64_t position_history_epoch = 0;
     // Connections are opened for a statement and closed soon after, because
@@ -185,6 +198,9 @@
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
   void ServeWaiting(const GroupName& name, Group* group, bool overdue);
+  static bool NeedsPrimary(const TargetRequest& request);
+  // Refuses the waiting statements that clearly cannot be served in time.
+  void RefuseHopeless(const GroupName& name, Group* group);
   bool TryServe(const GroupName& name, Group* group, CallerSession* session);
   bool TryServeAtPrimary(const GroupName& name,
                          Group* group,
@@ -213,6 +229,7 @@
   BorrowingDriver* m_borrowing = nullptr;
   ConnectionLender* m_lender = nullptr;
   QuotaGate* m_quota = nullptr;
+  RepeatBudget m_repeat_budget;
   Configuration m_configuration;
   WorkspaceAccess m_access;  // Has the keys of m_configuration.
   std::map<GroupName, Group> m_groups;
