--- a/Source/decision/read_policy.h
+++ b/Source/decision/read_policy.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Source/decision/pending_request.h"
+#include "Source/decision/target_load.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
@@ -30,6 +31,26 @@
   double recovery = 1.0;
 };
 
+// How a statement at a target ended, as far as it tells of the target.
+enum class ReadOutcome {
+  kDone,
+  kFailed,   // The target failed it, or the target's connection was lost.
+  kRefused,  // The target or its lender did not run it for lack of room.
+  kLagging,  // The target's log lacked the required position.
+  kSlow,     // It was withdrawn because no reply came in time.
+};
+
+// What a policy believes of a target, for metrics and logs.
+struct BelievedLoad {
+  // Average of the lenders that reported, weighed by age.
+  double running = 0;
+  double waiting = 0;
+  absl::Duration latency;
+  absl::Duration age;  // Of the newest report.
+  // Fraction of its usual work that the target is given, from 0 to 1.
+  double share = 1.0;
+};
+
 class ReadPolicy {
  public:
   static constexpr const char* kPluginKind = "read policy";
@@ -42,6 +63,29 @@
       const PendingRequest& pending,
       const std::vector<ReadCandidate>& candidates,
       absl::Time now) = 0;
+
+  // The functions below are for policies that choose from what others report.
+  // A policy that sees the targets' load itself ignores them.
+
+  // `lender` has reported the load of a target. Returns false if the report is
+  // out of range and was ignored.
+  virtual bool OnLoad(const TargetId& /*target*/,
+                      const InstanceId& /*lender*/,
+                      const TargetLoad& /*load*/,
+                      absl::Time /*now*/) {
+    return true;
+  }
+  // Returns true if the target is given less work because of this outcome.
+  virtual bool OnOutcome(const TargetId& /*target*/,
+                         ReadOutcome /*outcome*/,
+                         absl::Time /*now*/) {
+    return false;
+  }
+  // Returns nullopt if no load of the target is known.
+  virtual std::optional<BelievedLoad> Believed(const TargetId& /*target*/,
+                                               absl::Time /*now*/) const {
+    return std::nullopt;
+  }
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -71,6 +71,7 @@
     if (m_in_flight) {
       m_driver->m_transport->Cancel(m_lender.address, m_request);
       if (m_driver->m_loop->Now() - m_sent > kSuspectAfter) {
+        ReportOutcome(ReadOutcome::kSlow);
         m_driver->Suspect(m_lender, m_target.group);
       }
     } else {
@@ -84,6 +85,53 @@
     ReplyHandler on_reply;
   };
 
+  void ReportOutcome(ReadOutcome outcome) {
+    if (m_driver->m_observer != nullptr) {
+      m_driver->m_observer->OnTargetOutcome(m_target, outcome);
+    }
+  }
+
+  void Report(const RunResponse& response) {
+    if (m_driver->m_observer == nullptr) {
+      return;
+    }
+    if (response.load) {
+      m_driver->m_observer->OnTargetLoad(m_target, m_lender.id, *response.load);
+    }
+    // The outcome of a withdrawn request does not show how the target is.
+    if (!m_closed && response.outcome != RunOutcome::kRefused) {
+      ReportOutcome(OutcomeOf(response));
+    }
+  }
+
+  ReadOutcome OutcomeOf(const RunResponse& response) const {
+    if (response.outcome == RunOutcome::kConnectionLost) {
+      return ReadOutcome::kFailed;
+    }
+    if (response.outcome == RunOutcome::kNoConnection) {
+      return ReadOutcome::kRefused;
+    }
+    const size_t replies = std::min(response.replies.size(), m_running.size());
+    if (replies == 0) {
+      return ReadOutcome::kDone;
+    }
+    switch (response.replies[replies - 1].code) {
+      case ReplyCode::kFailed: {
+        // Others may fail because of what they contain.
+        const StatementKind kind = m_running[replies - 1].command.kind;
+        return kind == StatementKind::kRead || kind == StatementKind::kExecute
+                   ? ReadOutcome::kFailed
+                   : ReadOutcome::kDone;
+      }
+      case ReplyCode::kBusy:
+        return ReadOutcome::kRefused;
+      case ReplyCode::kLagging:
+        return ReadOutcome::kLagging;
+      default:
+        return ReadOutcome::kDone;
+    }
+  }
+
   void ReturnLoan() {
     if (m_loan != 0) {
       m_driver->m_transport->Return(m_lender.address, std::exchange(m_loan, 0));
@@ -142,6 +190,7 @@
       return;
     }
     RunResponse& response = ValueOf(answer);
+    Report(response);
     switch (response.outcome) {
       case RunOutcome::kDone:
         m_driver->OnAnswered(m_lender);
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -15,6 +15,8 @@
 #include <vector>
 
 #include "Source/decision/lender_plan.h"
+#include "Source/decision/read_policy.h"
+#include "Source/decision/target_load.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_link.h"
@@ -22,6 +24,18 @@
 
 namespace heatherwick {
 
+// Is told what the lenders' answers show of the targets.
+class LoanObserver {
+ public:
+  virtual ~LoanObserver() = default;
+
+  virtual void OnTargetLoad(const ListedTarget& target,
+                            const InstanceId& lender,
+                            const TargetLoad& load) = 0;
+  virtual void OnTargetOutcome(const ListedTarget& target,
+                               ReadOutcome outcome) = 0;
+};
+
 class BorrowingDriver : public TargetDriver {
  public:
   struct Lender {
@@ -36,6 +50,8 @@
                   LendingTransport* transport,
                   uint64_t incarnation);
 
+  // `observer` may be null.
+  void SetObserver(LoanObserver* observer) { m_observer = observer; }
   // The lenders of a group in order of preference; empty if this instance has
   // connections of its own.
   void SetLenders(const GroupName& group, std::vector<Lender> lenders);
@@ -92,6 +108,7 @@
   EventLoop* const m_loop;
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
+  LoanObserver* m_observer = nullptr;
   uint64_t m_next_request;
   std::map<GroupName, std::vector<Lender>> m_lenders;
   std::map<GroupName, std::vector<Lender>> m_neighbours;
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -50,6 +50,9 @@
   int attempts = 0;
   // The target of an attempt that failed or was too slow; others are preferred.
   TargetId avoided_target;
+  // Where the attempt of this number waits for a borrowed connection.
+  TargetId chosen_target;
+  int chosen_attempt = -1;
   std::string last_failure;  // Why the last attempt was abandoned.
 };
 
@@ -82,6 +85,11 @@
 
   // The statement that waits for a target; null when there is none.
   const TargetRequest* WaitingRequest() const;
+  // Records the target for the present attempt of the waiting statement.
+  void SetChosenTarget(const TargetId& target) {
+    m_request->chosen_target = target;
+    m_request->chosen_attempt = m_request->attempts;
+  }
   // Position of the session's own last commit. Under kReadYourWrites the next
   // read must see it, in addition to the position that max staleness requires.
   Position LastWritePosition() const { return m_last_write_position; }
--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -49,6 +49,11 @@
 }
 
 void ConnectionLender::OnRun(RunQuery query, Answer answer) {
+  answer = [this, key = PoolKey(query.group, query.target),
+            answer = std::move(answer)](RunResponse response) {
+    response.load = LoadOf(key);
+    answer(std::move(response));
+  };
   if (query.commands.empty()) {
     Refuse(answer, "the request has no commands");
     return;
@@ -98,6 +103,19 @@
   Serve(key);
 }
 
+std::optional<TargetLoad> ConnectionLender::LoadOf(const PoolKey& key) const {
+  const TargetPool* const pool = m_find_pool(key.first, key.second);
+  if (pool == nullptr) {
+    return std::nullopt;
+  }
+  const auto waiting = m_waiting.find(key);
+  return TargetLoad{static_cast<uint32_t>(pool->RunningCount()),
+                    waiting == m_waiting.end()
+                        ? 0
+                        : static_cast<uint32_t>(waiting->second.size()),
+                    pool->Latency()};
+}
+
 void ConnectionLender::OnPoolChanged(const TargetPool* pool) {
   Serve({pool->Target().group, pool->Target().id});
 }
--- a/Source/gateway/connection_lender.h
+++ b/Source/gateway/connection_lender.h
@@ -10,9 +10,11 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "Source/decision/target_load.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_pool.h"
@@ -61,6 +63,8 @@
     absl::Time last_used;
   };
 
+  // What this instance knows of the target; nothing if it does not lend.
+  std::optional<TargetLoad> LoadOf(const PoolKey& key) const;
   void Serve(const PoolKey& key);
   void StartLoan(TargetConnection* connection, Request request);
   void Reset(uint64_t id);
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -74,9 +74,13 @@
       m_loop(loop),
       m_driver(driver),
       m_metrics(metrics),
-      m_decisions(decisions) {}
+      m_decisions(decisions),
+      m_lent_reads(loop, metrics) {}
 
 Gateway::~Gateway() {
+  if (m_borrowing != nullptr) {
+    m_borrowing->SetObserver(nullptr);
+  }
   *m_alive = false;
 }
 
@@ -87,6 +91,7 @@
 void Gateway::SetLending(BorrowingDriver* borrowing, ConnectionLender* lender) {
   m_borrowing = borrowing;
   m_lender = lender;
+  m_borrowing->SetObserver(&m_lent_reads);
 }
 
 void Gateway::Start() {
@@ -592,6 +597,9 @@
                                   Group* group,
                                   CallerSession* session,
                                   Position required) {
+  if (group->borrows) {
+    return TryServeAtLentTarget(name, group, session, required);
+  }
   const absl::Time now = m_loop->Now();
   TargetPool* const primary = PrimaryPool(name);
   const TargetRequest& request = *session->WaitingRequest();
@@ -626,6 +634,53 @@
   return false;
 }
 
+bool Gateway::TryServeAtLentTarget(const GroupName& name,
+                                   Group* group,
+                                   CallerSession* session,
+                                   Position required) {
+  const absl::Time now = m_loop->Now();
+  TargetPool* const primary = PrimaryPool(name);
+  const TargetRequest& request = *session->WaitingRequest();
+  std::vector<TargetPool*> pools;
+  std::vector<ReadCandidate> candidates;
+  std::vector<TargetId> avoided = {request.avoided_target};
+  std::optional<size_t> chosen;
+  for (const auto& [id, pool] : group->pools) {
+    if (pool->Target().draining || !pool->MayHavePosition(required, now) ||
+        (pool->Target().claims_primary && pool.get() != primary)) {
+      continue;
+    }
+    ReadCandidate candidate;
+    candidate.id = id;
+    candidate.primary = pool.get() == primary;
+    candidate.same_data_centre = pool->Target().data_centre == m_data_centre;
+    candidate.can_start = pool->Busy() < kBorrowedConnections;
+    if (pool->OpeningFails()) {
+      avoided.push_back(id);
+    }
+    // The choice holds until the connection that was opened for it is free.
+    if (candidate.can_start && request.chosen_target == id &&
+        request.chosen_attempt == request.attempts) {
+      chosen = candidates.size();
+    }
+    candidates.push_back(std::move(candidate));
+    pools.push_back(pool.get());
+  }
+  if (!chosen) {
+    chosen = m_lent_reads.Choose(name, candidates, avoided);
+    if (!chosen) {
+      return false;
+    }
+    session->SetChosenTarget(candidates[*chosen].id);
+  }
+  TargetPool* const pool = pools[*chosen];
+  if (ServeOn(pool, session, required, pool == primary)) {
+    return true;
+  }
+  pool->EnsureOpening(request.workspace, 1);
+  return false;
+}
+
 void Gateway::RefreshPositionHistory(const GroupName& name, Group* group) {
   TargetPool* const pool = PrimaryPool(name);
   const absl::Time sent = m_loop->Now();
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "Source/gateway/connection_lender.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/leadership_manager.h"
+#include "Source/gateway/load/lent_reads.h"
 #include "Source/gateway/primary_position_history.h"
 #include "Source/gateway/quota/quota_gate.h"
 #include "Source/gateway/target_pool.h"
@@ -193,6 +194,11 @@
                            Group* group,
                            CallerSession* session,
                            Position required);
+  // The same for groups whose connections this instance borrows.
+  bool TryServeAtLentTarget(const GroupName& name,
+                            Group* group,
+                            CallerSession* session,
+                            Position required);
   bool ServeOn(TargetPool* pool,
                CallerSession* session,
                std::optional<Position> required,
@@ -212,6 +218,7 @@
   LeadershipManager* m_leadership = nullptr;
   BorrowingDriver* m_borrowing = nullptr;
   ConnectionLender* m_lender = nullptr;
+  LentReads m_lent_reads;
   QuotaGate* m_quota = nullptr;
   Configuration m_configuration;
   WorkspaceAccess m_access;  // Has the keys of m_configuration.
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -462,6 +462,14 @@
                        [](const auto& candidate) { return candidate->busy; });
 }
 
+size_t TargetPool::RunningCount() const {
+  return std::count_if(
+      m_connections.begin(), m_connections.end(), [](const auto& candidate) {
+        return candidate->open && candidate->unanswered_since &&
+               !candidate->link->Borrowed();
+      });
+}
+
 size_t TargetPool::OpenCount() const {
   return std::count_if(m_connections.begin(), m_connections.end(),
                        [](const auto& candidate) { return candidate->open; });
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -108,6 +108,9 @@
 
   size_t Busy() const;
   size_t OpenCount() const;
+  // Connections of this instance itself on which a command runs. Those of an
+  // open transaction that pauses do not count, because it uses no slot.
+  size_t RunningCount() const;
   absl::Time LastContact() const { return m_last_contact; }
   // When the oldest pending opening or unanswered command started; the infinite
   // future if there is none.
