--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -85,8 +85,14 @@
     ReplyHandler on_reply;
   };
 
+  // Only the outcomes of reads outside transactions are reported: others are
+  // not placed by load, and may fail because of what they contain.
   void ReportOutcome(ReadOutcome outcome) {
-    if (m_driver->m_observer != nullptr) {
+    if (m_driver->m_observer == nullptr || m_loan != 0 || m_running.empty()) {
+      return;
+    }
+    const StatementKind kind = m_running.back().command.kind;
+    if (kind == StatementKind::kRead || kind == StatementKind::kExecute) {
       m_driver->m_observer->OnTargetOutcome(m_target, outcome);
     }
   }
@@ -98,31 +104,26 @@
     if (response.load) {
       m_driver->m_observer->OnTargetLoad(m_target, m_lender.id, *response.load);
     }
-    // The outcome of a withdrawn request does not show how the target is.
+    // A request that this side withdrew does not show how the target is, and
+    // neither does a lender that does not lend.
     if (!m_closed && response.outcome != RunOutcome::kRefused) {
       ReportOutcome(OutcomeOf(response));
     }
   }
 
-  ReadOutcome OutcomeOf(const RunResponse& response) const {
+  static ReadOutcome OutcomeOf(const RunResponse& response) {
     if (response.outcome == RunOutcome::kConnectionLost) {
       return ReadOutcome::kFailed;
     }
     if (response.outcome == RunOutcome::kNoConnection) {
       return ReadOutcome::kRefused;
     }
-    const size_t replies = std::min(response.replies.size(), m_running.size());
-    if (replies == 0) {
+    if (response.replies.empty()) {
       return ReadOutcome::kDone;
     }
-    switch (response.replies[replies - 1].code) {
-      case ReplyCode::kFailed: {
-        // Others may fail because of what they contain.
-        const StatementKind kind = m_running[replies - 1].command.kind;
-        return kind == StatementKind::kRead || kind == StatementKind::kExecute
-                   ? ReadOutcome::kFailed
-                   : ReadOutcome::kDone;
-      }
+    switch (response.replies.back().code) {
+      case ReplyCode::kFailed:
+        return ReadOutcome::kFailed;
       case ReplyCode::kBusy:
         return ReadOutcome::kRefused;
       case ReplyCode::kLagging:
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -646,7 +646,7 @@
   std::vector<TargetId> avoided = {request.avoided_target};
   std::optional<size_t> chosen;
   for (const auto& [id, pool] : group->pools) {
-    if (pool->Target().draining || !pool->MayHavePosition(required, now) ||
+    if (pool->Target().draining ||
         (pool->Target().claims_primary && pool.get() != primary)) {
       continue;
     }
@@ -654,7 +654,8 @@
     candidate.id = id;
     candidate.primary = pool.get() == primary;
     candidate.same_data_centre = pool->Target().data_centre == m_data_centre;
-    candidate.can_start = pool->Busy() < kBorrowedConnections;
+    candidate.can_start = pool->Busy() < kBorrowedConnections &&
+                          pool->MayHavePosition(required, now);
     if (pool->OpeningFails()) {
       avoided.push_back(id);
     }
--- a/Source/gateway/load/lent_reads.cc
+++ b/Source/gateway/load/lent_reads.cc
@@ -2,10 +2,12 @@
 
 #include "Source/gateway/load/lent_reads.h"
 
+#include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
-#include "Source/kernel/registry.h"
+#include "Source/decision/even_load_reads.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "glog/logging.h"
@@ -13,10 +15,12 @@
 namespace heatherwick {
 namespace {
 
-constexpr const char* kPolicy = "even_load";
 // Of all groups together, so that the log stays small at any number of groups.
 constexpr absl::Duration kBeliefsLogPeriod = absl::Seconds(10);
 constexpr absl::Duration kReductionLogPeriod = absl::Seconds(1);
+// The longest recovery of a target's share, after which a group that is not
+// used has nothing to remember. At the planned scale there are 7,000 groups.
+constexpr absl::Duration kUnusedGroupTime = absl::Minutes(2);
 // A group has three targets; longer lists are cut in the log.
 constexpr size_t kMaxLoggedTargets = 8;
 
@@ -42,14 +46,19 @@
     : m_loop(loop), m_metrics(metrics) {}
 
 ReadPolicy* LentReads::Policy(const GroupName& group) {
-  std::unique_ptr<ReadPolicy>& policy = m_policies[group];
-  if (!policy) {
-    auto created =
-        Registry<ReadPolicy, absl::BitGenRef>::Create(kPolicy, m_random);
-    CHECK(Ok(created)) << ErrorOf(created).message;
-    policy = std::move(ValueOf(created));
+  const absl::Time now = m_loop->Now();
+  if (now - m_swept > kUnusedGroupTime) {
+    m_swept = now;
+    std::erase_if(m_groups, [now](const auto& entry) {
+      return now - entry.second.last_used > kUnusedGroupTime;
+    });
+  }
+  Group& used = m_groups[group];
+  used.last_used = now;
+  if (!used.policy) {
+    used.policy = std::make_unique<EvenLoadReads>(m_random);
   }
-  return policy.get();
+  return used.policy.get();
 }
 
 std::optional<size_t> LentReads::Choose(
@@ -67,12 +76,15 @@
     return std::nullopt;
   }
   const ReadCandidate& candidate = candidates[*chosen];
-  m_metrics->Count(candidate.primary ? "read_choices/primary"
-                                     : "read_choices/replica");
+  const char* const role = candidate.primary ? "primary" : "replica";
+  m_metrics->Count(absl::StrCat("read_choices/", role));
   const std::optional<BelievedLoad> believed =
       policy->Believed(candidate.id, now);
   if (believed) {
     m_metrics->Observe("target_load_age", believed->age);
+    m_metrics->Observe("target_load_latency", believed->latency);
+    m_metrics->SetGauge(absl::StrCat("target_load_statements/", role),
+                        std::llround(believed->running + believed->waiting));
   } else {
     m_metrics->Count("read_choices_load_unknown");
   }
--- a/Source/gateway/load/lent_reads.h
+++ b/Source/gateway/load/lent_reads.h
@@ -39,6 +39,11 @@
                        ReadOutcome outcome) override;
 
  private:
+  struct Group {
+    std::unique_ptr<ReadPolicy> policy;
+    absl::Time last_used;
+  };
+
   ReadPolicy* Policy(const GroupName& group);
   void LogBeliefs(const GroupName& group,
                   const std::vector<ReadCandidate>& candidates,
@@ -47,7 +52,8 @@
   EventLoop* const m_loop;
   Metrics* const m_metrics;
   absl::BitGen m_random;
-  std::map<GroupName, std::unique_ptr<ReadPolicy>> m_policies;
+  std::map<GroupName, Group> m_groups;
+  absl::Time m_swept = absl::InfinitePast();
   absl::Time m_beliefs_logged = absl::InfinitePast();
   absl::Time m_reduction_logged = absl::InfinitePast();
 };
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -2,6 +2,7 @@
 // state, run a statement twice, report a statement that ran as not run, or pass
 // a target's limit.
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -633,6 +634,99 @@
   CHECK(m_fleet.runs == 1);
 }
 
+class RecordingObserver : public LoanObserver {
+ public:
+  void OnTargetLoad(const ListedTarget& target,
+                    const InstanceId& lender,
+                    const TargetLoad& load) override {
+    CHECK(target.id == "db");
+    lenders.insert(lender);
+    loads.push_back(load);
+  }
+  void OnTargetOutcome(const ListedTarget&, ReadOutcome outcome) override {
+    outcomes.push_back(outcome);
+  }
+
+  std::set<InstanceId> lenders;
+  std::vector<TargetLoad> loads;
+  std::vector<ReadOutcome> outcomes;
+};
+
+// Guards against choosers that must ask for a target's load, and against loads
+// that include paused transactions, which use no slot.
+TEST_CASE_FIXTURE(LendingFixture, "Lending_EachAnswer_CarriesTheTargetsLoad") {
+  RecordingObserver observer;
+  for (Fleet::Instance* borrower : m_borrowers) {
+    borrower->driver.SetObserver(&observer);
+  }
+  Caller& paused = Open(0);
+  Send(&paused, StatementKind::kBegin, "");
+  Run();
+  REQUIRE(observer.loads.size() == 1);
+  CHECK(observer.loads.back().running == 0);
+  CHECK(observer.loads.back().waiting == 0);
+  CHECK(observer.outcomes.empty());
+
+  for (size_t borrower = 0; borrower < m_borrowers.size(); ++borrower) {
+    Send(&Open(borrower), StatementKind::kRead, "r");
+  }
+  Run(absl::Seconds(1));
+  REQUIRE(observer.loads.size() == 1 + m_borrowers.size());
+  CHECK(observer.lenders.size() == 2);
+  uint32_t most_running = 0;
+  uint32_t most_waiting = 0;
+  for (const TargetLoad& load : observer.loads) {
+    most_running = std::max(most_running, load.running);
+    most_waiting = std::max(most_waiting, load.waiting);
+    CHECK(load.latency > absl::ZeroDuration());
+  }
+  // Each lender has four connections.
+  CHECK(most_running >= 2);
+  CHECK(most_running <= 4);
+  CHECK(most_waiting >= 1);
+  CHECK(observer.outcomes ==
+        std::vector<ReadOutcome>(m_borrowers.size(), ReadOutcome::kDone));
+}
+
+// Guards against targets that keep their work because no outcome is reported,
+// and against outcomes that tell of something else than the target.
+TEST_CASE_FIXTURE(LendingFixture,
+                  "Lending_ReadsEnd_OutcomesOfReadsAreReported") {
+  RecordingObserver observer;
+  m_borrowers[0]->driver.SetObserver(&observer);
+  m_fleet.database.hold = true;
+  Caller& lost = Open(0);
+  Send(&lost, StatementKind::kRead, "r1");
+  Run();
+  m_fleet.database.LoseConnections();
+  Run();
+  CHECK(lost.closed == 1);
+  CHECK(observer.outcomes == std::vector{ReadOutcome::kFailed});
+
+  observer.outcomes.clear();
+  Send(&Open(0), StatementKind::kRead, "r2");
+  Run(absl::Milliseconds(300));
+  m_callers.back()->link->Close();
+  CHECK(observer.outcomes == std::vector{ReadOutcome::kSlow});
+
+  // Withdrawn at once, and a write.
+  observer.outcomes.clear();
+  Send(&Open(0), StatementKind::kRead, "r3");
+  Run(absl::Milliseconds(20));
+  m_callers.back()->link->Close();
+  Send(&Open(0), StatementKind::kWrite, "w1");
+  Run();
+  m_fleet.database.LoseConnections();
+  Run(absl::Seconds(5));
+  CHECK(observer.outcomes.empty());
+
+  // A lender that is silent does not count against the target.
+  m_fleet.silent.insert(m_fleet.lenders.begin(), m_fleet.lenders.end());
+  Send(&Open(0), StatementKind::kRead, "r4");
+  Run(absl::Seconds(5));
+  CHECK(observer.outcomes.empty());
+}
+
 class LoadedFleetFixture {
  protected:
   static constexpr size_t kInstances = 80;
