--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -82,6 +82,7 @@
     if (m_in_flight) {
       m_driver->m_transport->Cancel(m_lender.address, m_request);
       if (m_driver->m_loop->Now() - m_sent > kSuspectAfter) {
+        ReportOutcome(ReadOutcome::kSlow);
         m_driver->Suspect(m_lender, m_target.group);
       }
     } else {
@@ -95,6 +96,54 @@
     ReplyHandler on_reply;
   };
 
+  // Only the outcomes of reads outside transactions are reported: others are
+  // not placed by load, and may fail because of what they contain.
+  void ReportOutcome(ReadOutcome outcome) {
+    if (m_driver->m_observer == nullptr || m_loan != 0 || m_running.empty()) {
+      return;
+    }
+    const StatementKind kind = m_running.back().command.kind;
+    if (kind == StatementKind::kRead || kind == StatementKind::kExecute) {
+      m_driver->m_observer->OnTargetOutcome(m_target, outcome);
+    }
+  }
+
+  void Report(const RunResponse& response) {
+    if (m_driver->m_observer == nullptr) {
+      return;
+    }
+    if (response.load) {
+      m_driver->m_observer->OnTargetLoad(m_target, m_lender.id, *response.load);
+    }
+    // A request that this side withdrew does not show how the target is, and
+    // neither does a lender that does not lend.
+    if (!m_closed && response.outcome != RunOutcome::kRefused) {
+      ReportOutcome(OutcomeOf(response));
+    }
+  }
+
+  static ReadOutcome OutcomeOf(const RunResponse& response) {
+    if (response.outcome == RunOutcome::kConnectionLost) {
+      return ReadOutcome::kFailed;
+    }
+    if (response.outcome == RunOutcome::kNoConnection) {
+      return ReadOutcome::kRefused;
+    }
+    if (response.replies.empty()) {
+      return ReadOutcome::kDone;
+    }
+    switch (response.replies.back().code) {
+      case ReplyCode::kFailed:
+        return ReadOutcome::kFailed;
+      case ReplyCode::kBusy:
+        return ReadOutcome::kRefused;
+      case ReplyCode::kLagging:
+        return ReadOutcome::kLagging;
+      default:
+        return ReadOutcome::kDone;
+    }
+  }
+
   void ReturnLoan() {
     if (m_loan != 0) {
       m_driver->m_transport->Return(m_lender.address, std::exchange(m_loan, 0));
@@ -164,6 +213,7 @@
       return;
     }
     RunResponse& response = ValueOf(answer);
+    Report(response);
     switch (response.outcome) {
       case RunOutcome::kDone:
         m_driver->OnAnswered(m_lender);
--- a/Source/gateway/borrowing_driver.h
+++ b/Source/gateway/borrowing_driver.h
@@ -16,7 +16,9 @@
 
 #include "Source/base/metrics.h"
 #include "Source/decision/lender_plan.h"
+#include "Source/decision/read_policy.h"
 #include "Source/decision/repeat_budget.h"
+#include "Source/decision/target_load.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_link.h"
@@ -24,6 +26,18 @@
 
 namespace heatherwick {
 
+// Is told what the lenders' answers show of the targets.
+class LoanObserver {
+ public:
+  virtual ~LoanObserver() = default;
+
+  virtual void OnTargetLoad(const ListedTarget& target,
+                            const InstanceId& lender,
+                            const TargetLoad& load) = 0;
+  virtual void OnTargetOutcome(const ListedTarget& target,
+                               ReadOutcome outcome) = 0;
+};
+
 class BorrowingDriver : public TargetDriver {
  public:
   struct Lender {
@@ -41,6 +55,8 @@
   // Without this, nothing is counted.
   void SetMetrics(Metrics* metrics) { m_metrics = metrics; }
 
+  // `observer` may be null.
+  void SetObserver(LoanObserver* observer) { m_observer = observer; }
   // The lenders of a group in order of preference; empty if this instance has
   // connections of its own.
   void SetLenders(const GroupName& group, std::vector<Lender> lenders);
@@ -103,6 +119,7 @@
   TargetDriver* const m_direct;
   LendingTransport* const m_transport;
   Metrics* m_metrics = nullptr;
+  LoanObserver* m_observer = nullptr;
   uint64_t m_next_request;
   std::map<GroupName, std::vector<Lender>> m_lenders;
   std::map<GroupName, std::vector<Lender>> m_neighbours;
--- a/Source/gateway/connection_lender.h
+++ b/Source/gateway/connection_lender.h
@@ -16,6 +16,7 @@
 
 #include "Source/base/metrics.h"
 #include "Source/decision/crowd_admission.h"
+#include "Source/decision/target_load.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/lending.h"
 #include "Source/gateway/target_pool.h"
@@ -79,6 +80,8 @@
   };
 
   void Count(absl::string_view cause) const;
+  // What this instance knows of the target; nothing if it does not lend.
+  std::optional<TargetLoad> LoadOf(const PoolKey& key) const;
   void Serve(const PoolKey& key);
   // Requests of the same workspace that are served before `request`. Those of
   // other workspaces may be too, but need not.
