--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -1017,7 +1017,7 @@
   void Ask(const WorkspaceName& workspace,
            StatementKind kind = StatementKind::kRead,
            uint64_t loan = 0) {
-    RunQuery query{"g", "db", workspace, loan, {}, ++m_requests};
+    RunQuery query{"g", "db", workspace, loan, {}, ++m_requests, {}};
     TargetCommand command;
     command.kind = kind;
     command.id = workspace + ":" + std::to_string(m_requests);
