--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -37,6 +37,8 @@
       {"orders-late", 'l', POPT_ARG_NONE, &orders_late, 0,
        "Inject faults between orders of promotions and their effects.",
        nullptr},
+      {"workspaces", 'w', POPT_ARG_INT, &options->workspaces, 0,
+       "Workspaces with keys and quotas; 0 for none.", "NUMBER"},
       {"program", 'p', POPT_ARG_STRING, &program, 0,
        "The heatherwick-platform to start.", "PATH"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -51,13 +53,14 @@
     std::cerr << "heatherwick-soak: " << poptStrerror(parsed) << ": "
               << poptBadOption(context, 0) << "\n";
   } else if (options->program.empty() || options->instances < 1 ||
-             options->groups < 1) {
+             options->groups < 1 || options->workspaces < 0) {
     std::cerr << "heatherwick-soak: --program names the heatherwick-platform "
-                 "to start; --instances and --groups are at least 1\n";
+                 "to start; --instances and --groups are at least 1, "
+                 "--workspaces is at least 0\n";
   }
   poptFreeContext(context);
   return parsed == -1 && !options->program.empty() && options->instances > 0 &&
-         options->groups > 0;
+         options->groups > 0 && options->workspaces >= 0;
 }
 
 int Main(int argc, const char** argv) {
--- a/Tests/platform/soak/instance_process.h
+++ b/Tests/platform/soak/instance_process.h
@@ -18,6 +18,7 @@
   std::string name;
   std::string store;       // Address of the store, IP:PORT.
   std::string promotions;  // Address that takes promotion orders, IP:PORT.
+  std::string more;        // Further lines of the settings file.
   // Port for callers. The next port serves the readiness check, and the two
   // after it serve peers.
   uint16_t first_port = 0;
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -7,9 +7,13 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <optional>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/time/clock.h"
@@ -36,6 +40,18 @@
 constexpr uint32_t kMinTimeToKillAllMs = 4000;
 constexpr uint32_t kMaxTimeToKillAllMs = 14000;
 
+// Bounds of the random pause between two changes of keys.
+constexpr uint32_t kMinTimeToChangeKeyMs = 500;
+constexpr uint32_t kMaxTimeToChangeKeyMs = 3000;
+// Shorter than most outages of the store, so that instances reach it.
+constexpr absl::Duration kRevocationLimit = absl::Milliseconds(2500);
+// Those of the deployments with workspaces.
+constexpr double kQuotaOvershoot = 0.1;
+constexpr double kQuotaSlack = 20;
+// Quotas of the workspaces but the first, which has none. With 2.5 operations a
+// second a caller was not served for 8 s, as others were admitted before it.
+constexpr WorkspaceQuota kQuotas[] = {{40, 20}, {15, 5}, {7.5, 4}};
+
 // Kinds of the faults of an instance.
 enum InstanceFault : uint32_t { kKill, kTerminate, kPause, kHangUp };
 
@@ -68,7 +84,25 @@
   return absl::StrCat("s", index);
 }
 
-std::string Configuration(int version, int groups) {
+std::string WorkspaceNameAt(size_t index) {
+  return absl::StrCat("w", index);
+}
+
+std::string KeyAt(size_t workspace, size_t index) {
+  return absl::StrCat("soakkey-", workspace, "-", index);
+}
+
+// Nothing for the first workspace.
+std::optional<WorkspaceQuota> QuotaAt(size_t workspace) {
+  return workspace == 0
+             ? std::nullopt
+             : std::optional(kQuotas[(workspace - 1) % std::size(kQuotas)]);
+}
+
+// `workspaces` is the list of them; empty if there is none.
+std::string Configuration(int version,
+                          int groups,
+                          const std::string& workspaces) {
   std::vector<std::string> routes;
   std::vector<std::string> services;
   const auto add_route = [&](CallerKind kind, const char* type,
@@ -94,7 +128,8 @@
   return absl::StrCat(R"({"version":)", version, R"(,"routes":[)",
                       absl::StrJoin(routes, ","), R"(],"services":[)",
                       absl::StrJoin(services, ","),
-                      R"(],"limits":{"txIdleMs":3000}})");
+                      workspaces.empty() ? "]" : R"(],"tenants":)", workspaces,
+                      R"(,"limits":{"txIdleMs":3000}})");
 }
 
 }  // namespace
@@ -102,7 +137,10 @@
 Soak::Soak(const SoakOptions& options)
     : m_options(options),
       m_random(static_cast<uint32_t>(options.seed)),
-      m_planner(static_cast<uint32_t>(options.seed), options.orders_late) {
+      m_planner(static_cast<uint32_t>(options.seed), options.orders_late),
+      m_key_random(static_cast<uint32_t>(options.seed)),
+      m_workspace_history(kRevocationLimit,
+                          {absl::Seconds(5), kQuotaOvershoot, kQuotaSlack}) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "heatherwick-soak-XXXXXX");
   m_directory = mkdtemp(pattern.data());
@@ -112,8 +150,19 @@
   m_store->on_promote = [this](const FakePromotionOrder& order) {
     return TakeOrder(order);
   };
-  m_store->Put("op", "config",
-               Configuration(m_configuration_version, options.groups));
+  for (int index = 0; index < options.workspaces; ++index) {
+    const auto workspace = static_cast<size_t>(index);
+    for (const size_t key : {0, 1}) {
+      SetKey(KeyAt(workspace, key), WorkspaceNameAt(workspace));
+    }
+    if (QuotaAt(workspace)) {
+      m_workspace_history.SetQuota(WorkspaceNameAt(workspace),
+                                   *QuotaAt(workspace));
+    }
+  }
+  m_store->Put(
+      "op", "config",
+      Configuration(m_configuration_version, options.groups, Workspaces()));
   // Earlier versions drew the ports from the seed, too; its faults stay the
   // same.
   m_random.discard(static_cast<uint64_t>(options.instances));
@@ -126,6 +175,13 @@
     settings.name = absl::StrCat("i", index);
     settings.store = m_store_links.back()->Address();
     settings.promotions = settings.store;
+    if (options.workspaces > 0) {
+      settings.more = absl::StrCat(
+          "bounds.revokeStrict=true\nbounds.revokeMs=",
+          absl::ToInt64Milliseconds(kRevocationLimit),
+          "\nbounds.quotaWindowS=5\nbounds.quotaOvershoot=", kQuotaOvershoot,
+          "\nbounds.quotaSlack=", kQuotaSlack, "\n");
+    }
     m_ports.push_back(std::make_unique<PortBlock>());
     settings.first_port = m_ports.back()->FirstPort();
     ports.push_back(settings.first_port);
@@ -140,8 +196,13 @@
          {CallerKind::kOrders, CallerKind::kStock, CallerKind::kViews}) {
       for (size_t index = 0; index < kCallersPerKind; ++index) {
         const std::string item = absl::StrCat("k", item_count++);
+        const size_t workspaces = static_cast<size_t>(options.workspaces);
         m_callers.push_back(std::make_unique<SoakCaller>(
-            kind, group->Name(), item, items, ports, m_random(), &m_history));
+            kind, group->Name(), item, items, ports, m_random(), &m_history,
+            workspaces == 0
+                ? ""
+                : KeyAt(item_count % workspaces, item_count / workspaces % 2),
+            workspaces == 0 ? nullptr : &m_workspace_history));
         items.push_back(item);
       }
     }
@@ -170,6 +231,94 @@
   return all;
 }
 
+void Soak::PutConfiguration() {
+  m_store->Put(
+      "op", "config",
+      Configuration(++m_configuration_version, m_options.groups, Workspaces()));
+}
+
+std::string Soak::Workspaces() const {
+  if (m_options.workspaces == 0) {
+    return "";
+  }
+  std::vector<std::string> list;
+  for (int index = 0; index < m_options.workspaces; ++index) {
+    const std::string name = WorkspaceNameAt(static_cast<size_t>(index));
+    std::vector<std::string> keys;
+    for (const auto& [key, workspace] : m_keys) {
+      if (workspace == name) {
+        keys.push_back(absl::StrCat("\"", key, "\""));
+      }
+    }
+    const auto quota = QuotaAt(static_cast<size_t>(index));
+    list.push_back(absl::StrCat(
+        R"({"name":")", name, R"(","apiKeys":[)", absl::StrJoin(keys, ","), "]",
+        quota ? absl::StrCat(R"(,"ratePerS":)", quota->rate_per_s,
+                             R"(,"burst":)", quota->burst)
+              : "",
+        "}"));
+  }
+  return absl::StrCat("[", absl::StrJoin(list, ","), "]");
+}
+
+void Soak::SetKey(const std::string& key, const std::string& workspace) {
+  m_keys[key] = workspace;
+  m_workspace_history.SetKey(key, workspace, SteadyNow());
+}
+
+void Soak::ChangeKey() {
+  const auto changed = std::next(
+      m_keys.begin(), static_cast<ptrdiff_t>(m_key_random() % m_keys.size()));
+  const std::string target =
+      m_key_random() % 2 == 0
+          ? ""
+          : WorkspaceNameAt(m_key_random() %
+                            static_cast<size_t>(m_options.workspaces));
+  PrintEvent(
+      absl::StrCat("key ", changed->first, " is now of \"", target, "\""));
+  // The history has the time after the change, so that the one before counts
+  // until then.
+  m_keys[changed->first] = target;
+  PutConfiguration();
+  m_workspace_history.SetKey(changed->first, target, SteadyNow());
+}
+
+void Soak::RestoreKeys() {
+  for (int index = 0; index < m_options.workspaces; ++index) {
+    for (const size_t key : {0, 1}) {
+      const auto workspace = static_cast<size_t>(index);
+      m_keys[KeyAt(workspace, key)] = WorkspaceNameAt(workspace);
+    }
+  }
+  PutConfiguration();
+  for (const auto& [key, workspace] : m_keys) {
+    m_workspace_history.SetKey(key, workspace, SteadyNow());
+  }
+}
+
+void Soak::CheckWorkspaces() {
+  std::vector<FakeStatement> reached;
+  for (FakeDatabaseGroup* group : m_groups) {
+    for (FakeStatement& statement : group->Statements()) {
+      reached.push_back(std::move(statement));
+    }
+  }
+  for (std::string& violation : m_workspace_history.Check(reached)) {
+    m_violations.push_back(std::move(violation));
+  }
+  for (const auto& instance : m_instances) {
+    std::ifstream log(absl::StrCat(m_directory, "/", instance->Name(), ".log"));
+    for (std::string line; std::getline(log, line);) {
+      if (absl::StrContains(line, "soakkey-")) {
+        m_violations.push_back(
+            absl::StrCat("the log of ", instance->Name(), " has a key"));
+        break;
+      }
+    }
+  }
+  PrintEvent(m_workspace_history.Summary());
+}
+
 void Soak::PrintEvent(const std::string& event) {
   std::cout << absl::StrCat(absl::ToInt64Milliseconds(SteadyNow() - m_start),
                             " ms ", event, "\n")
@@ -391,9 +540,7 @@
             {end, [this]() { m_store->SetBusy(false); }});
       } else {
         PrintEvent("change the configuration");
-        m_store->Put(
-            "op", "config",
-            Configuration(++m_configuration_version, m_options.groups));
+        PutConfiguration();
       }
       break;
   }
@@ -433,19 +580,28 @@
     before.push_back(caller->AcknowledgedWrites());
   }
   const absl::Time end = SteadyNow() + kRecoveryTimeout;
+  absl::Time next_print = SteadyNow() + kRecoveryTimeout / 5;
   while (SteadyNow() < end) {
     RestartExitedInstances();
-    bool recovered = true;
+    std::vector<std::string> missing;
     for (const auto& instance : m_instances) {
-      recovered &= IsReady(instance->ReadyPort());
+      if (!IsReady(instance->ReadyPort())) {
+        missing.push_back(instance->Name());
+      }
     }
     for (size_t index = 0; index < m_callers.size(); ++index) {
-      recovered &= m_callers[index]->Kind() == CallerKind::kViews ||
-                   m_callers[index]->AcknowledgedWrites() > before[index];
+      if (m_callers[index]->Kind() != CallerKind::kViews &&
+          m_callers[index]->AcknowledgedWrites() == before[index]) {
+        missing.push_back(m_callers[index]->Name());
+      }
     }
-    if (recovered) {
+    if (missing.empty()) {
       return true;
     }
+    if (SteadyNow() >= next_print) {
+      PrintEvent(absl::StrCat("not served yet: ", absl::StrJoin(missing, " ")));
+      next_print += kRecoveryTimeout / 5;
+    }
     absl::SleepFor(absl::Milliseconds(100));
   }
   return false;
@@ -469,6 +625,8 @@
   absl::Time next_kill_all = m_options.orders_late
                                  ? SteadyNow() + TimeToKillAll(&kill_all_random)
                                  : absl::InfiniteFuture();
+  absl::Time next_key_change =
+      m_options.workspaces > 0 ? SteadyNow() : absl::InfiniteFuture();
   while (SteadyNow() < end) {
     if (SteadyNow() >= next_fault) {
       InjectFault();
@@ -482,6 +640,14 @@
       KillInstances(0, m_instances.size(), absl::ZeroDuration());
       next_kill_all = SteadyNow() + TimeToKillAll(&kill_all_random);
     }
+    if (SteadyNow() >= next_key_change) {
+      ChangeKey();
+      next_key_change =
+          SteadyNow() +
+          absl::Milliseconds(
+              kMinTimeToChangeKeyMs +
+              m_key_random() % (kMaxTimeToChangeKeyMs - kMinTimeToChangeKeyMs));
+    }
     InjectOrderFaults();
     EndFaults(SteadyNow());
     RestartExitedInstances();
@@ -489,10 +655,16 @@
   }
   EndFaults(absl::InfiniteFuture());
   std::fill(m_down_until.begin(), m_down_until.end(), absl::InfinitePast());
+  if (m_options.workspaces > 0) {
+    RestoreKeys();
+  }
   PrintEvent("all faults are over");
   if (!WaitForRecovery()) {
     m_violations.push_back("not all callers were served again in time");
   }
+  if (m_options.workspaces > 0) {
+    CheckWorkspaces();
+  }
   EndProcesses();
   for (std::string& violation : m_history.Check(Commits())) {
     m_violations.push_back(std::move(violation));
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -22,6 +22,7 @@
 #include "Tests/platform/soak/order_planner.h"
 #include "Tests/platform/soak/port_block.h"
 #include "Tests/platform/soak/soak_caller.h"
+#include "Tests/platform/soak/workspace_history.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
@@ -37,6 +38,9 @@
   // Answers orders of promotions late or never, and injects faults between an
   // order and its effect.
   bool orders_late = false;
+  // Workspaces with two keys each, of which all but the first have a quota. 0
+  // for a configuration without workspaces.
+  int workspaces = 0;
   std::string program;
 };
 
@@ -82,6 +86,16 @@
                      const std::string& id,
                      absl::Time end);
   void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
+  // Stores a new version of the configuration.
+  void PutConfiguration();
+  // The list of workspaces in the configuration.
+  std::string Workspaces() const;
+  // Withdraws a key, adds one again, or moves one to another workspace.
+  void ChangeKey();
+  void SetKey(const std::string& key, const std::string& workspace);
+  // Gives each key to its first workspace again.
+  void RestoreKeys();
+  void CheckWorkspaces();
   // The commits of all groups, each group's in order.
   std::vector<FakeCommit> Commits();
   // Ends the faults whose end lies at or before `until`.
@@ -115,6 +129,10 @@
   std::vector<ScheduledEnd> m_scheduled_ends;
   std::vector<std::string> m_violations;
   int m_configuration_version = 1;
+  // Not m_random, whose draws stay the same without workspaces.
+  std::mt19937 m_key_random;
+  std::map<std::string, std::string> m_keys;  // Each key's present workspace.
+  WorkspaceHistory m_workspace_history;
 };
 
 }  // namespace heatherwick::platform
--- a/Tests/platform/soak/soak_caller.cc
+++ b/Tests/platform/soak/soak_caller.cc
@@ -46,7 +46,13 @@
  public:
   Connection() : m_socket(m_context) {}
 
-  bool Open(uint16_t port, const std::string& database) {
+  // With a key, what is sent is added to `workspaces`.
+  bool Open(uint16_t port,
+            const std::string& database,
+            const std::string& key,
+            WorkspaceHistory* workspaces) {
+    m_key = key;
+    m_workspaces = workspaces;
     error_code error;
     m_socket.connect(
         tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port), error);
@@ -56,13 +62,23 @@
     const timeval limit{kReplyTimeoutS, 0};
     setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit,
                sizeof(limit));
-    const Answer answer = Send(absl::StrCat("START ", database, " soak\r\n"));
+    const Answer answer = Send(absl::StrCat(
+        "START ", database, " ", key.empty() ? "soak" : key, "\r\n"));
     return !answer.closed;
   }
 
   Answer Query(const std::string& text) {
-    return Send(absl::StrCat("QUERY ", m_session_number, "-", ++m_queries, " ",
-                             text, "\r\n"));
+    const std::string id = absl::StrCat(m_session_number, "-", ++m_queries);
+    if (text == "BEGIN" || !m_in_transaction) {
+      static std::atomic<uint64_t> next = 0;
+      m_operation = ++next;
+    }
+    m_in_transaction =
+        text == "BEGIN" || (m_in_transaction && text != "COMMIT");
+    if (m_workspaces != nullptr) {
+      m_workspaces->AddSent({id, m_key, m_operation, SteadyNow()});
+    }
+    return Send(absl::StrCat("QUERY ", id, " ", text, "\r\n"));
   }
 
   bool Closed() const { return m_closed; }
@@ -124,6 +140,10 @@
   tcp::socket m_socket;
   const uint64_t m_session_number = NextSessionNumber();
   uint64_t m_queries = 0;
+  std::string m_key;
+  WorkspaceHistory* m_workspaces = nullptr;
+  uint64_t m_operation = 0;
+  bool m_in_transaction = false;
   std::string m_buffer;
   bool m_closed = false;
 };
@@ -139,13 +159,17 @@
                        std::vector<std::string> read_items,
                        std::vector<uint16_t> ports,
                        uint32_t seed,
-                       CallHistory* history)
+                       CallHistory* history,
+                       std::string key,
+                       WorkspaceHistory* workspaces)
     : m_kind(kind),
       m_group(std::move(group)),
       m_item(std::move(item)),
       m_read_items(std::move(read_items)),
       m_ports(std::move(ports)),
       m_history(history),
+      m_key(std::move(key)),
+      m_workspaces(workspaces),
       m_random(seed),
       m_thread([this]() { Run(); }) {}
 
@@ -174,7 +198,7 @@
 bool SoakCaller::Connect() {
   m_connection = std::make_unique<Connection>();
   if (!m_connection->Open(m_ports[RandomBelow(m_ports.size())],
-                          DatabaseName(m_kind, m_group))) {
+                          DatabaseName(m_kind, m_group), m_key, m_workspaces)) {
     m_connection.reset();
     return false;
   }
--- a/Tests/platform/soak/soak_caller.h
+++ b/Tests/platform/soak/soak_caller.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "Tests/platform/soak/call_history.h"
+#include "Tests/platform/soak/workspace_history.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 
@@ -31,20 +32,27 @@
  public:
   // The caller uses the database of its kind in the group `group`. It writes
   // and reads `item`, which no other caller writes. A kViews caller only reads,
-  // and reads from `read_items`.
+  // and reads from `read_items`. With a key, what it sends is added to
+  // `workspaces`.
   SoakCaller(CallerKind kind,
              std::string group,
              std::string item,
              std::vector<std::string> read_items,
              std::vector<uint16_t> ports,
              uint32_t seed,
-             CallHistory* history);
+             CallHistory* history,
+             std::string key = "",
+             WorkspaceHistory* workspaces = nullptr);
   ~SoakCaller();
 
   void Stop() { m_stop = true; }
   // Number of writes that were reported as done so far.
   uint64_t AcknowledgedWrites() const { return m_acknowledged_writes; }
   CallerKind Kind() const { return m_kind; }
+  // Its item and, with workspaces, its key.
+  std::string Name() const {
+    return m_key.empty() ? m_item : m_item + "(" + m_key + ")";
+  }
 
  private:
   class Connection;
@@ -63,6 +71,8 @@
   const std::vector<std::string> m_read_items;
   const std::vector<uint16_t> m_ports;
   CallHistory* const m_history;
+  const std::string m_key;  // Empty without workspaces.
+  WorkspaceHistory* const m_workspaces;
   std::mt19937 m_random;
   uint64_t m_last_number = 0;
   std::unique_ptr<Connection> m_connection;
