--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -373,6 +373,14 @@
                  decision.retry_after);
           return;
         }
+        const Access access = m_gateway->CheckAccess(m_key, m_request->route);
+        if (access.outcome != AccessOutcome::kGranted ||
+            access.workspace != m_request->workspace) {
+          // The caller's next statement is told more.
+          Refuse(ReplyCode::kBusy,
+                 "the key changed while the statement waited");
+          return;
+        }
         m_transaction_admitted = m_in_transaction;
         m_gateway->Enqueue(this);
       });
--- a/Tests/gateway/quota_session_test.cc
+++ b/Tests/gateway/quota_session_test.cc
@@ -50,7 +50,7 @@
   // The session's ticket needs the gate.
   ~QuotaSessionFixture() { m_session.reset(); }
 
-  void Configure(bool with_quota) {
+  void Configure(bool with_quota, const std::string& key = "k1") {
     Configuration configuration;
     configuration.version = ++m_version;
     configuration.groups["g"] = {.max_connections = 12};
@@ -58,7 +58,7 @@
     configuration.has_workspaces = true;
     Workspace& workspace = configuration.workspaces["w"];
     workspace.name = "w";
-    workspace.keys = {"k1"};
+    workspace.keys = {key};
     if (with_quota) {
       workspace.quota = WorkspaceQuota{100, 10};
     }
@@ -240,6 +240,28 @@
   CHECK(m_driver.sent.empty());
 }
 
+// The instance knows of the withdrawal before anything was sent to a target.
+TEST_CASE_FIXTURE(QuotaSessionFixture,
+                  "QuotaSession_KeyWithdrawnWhileItWaits_NothingRuns") {
+  for (const bool in_transaction : {false, true}) {
+    CAPTURE(in_transaction);
+    Configure(true);
+    Open("orders", "k1");
+    if (in_transaction) {
+      RunStatement(StatementKind::kBegin, "BEGIN");
+    }
+    RunStatement(StatementKind::kWrite, "WRITE k v");
+    Configure(true, "k2");
+    AnswerQuota(1);
+    CHECK(m_driver.sent.empty());
+    CHECK(LastReply().code ==
+          (in_transaction ? ReplyCode::kAborted : ReplyCode::kBusy));
+    RunStatement(StatementKind::kWrite, "WRITE k v");
+    CHECK(LastReply().code == ReplyCode::kUnauthorized);
+    CHECK(m_driver.sent.empty());
+  }
+}
+
 TEST_CASE_FIXTURE(QuotaSessionFixture,
                   "QuotaSession_QuotaRemovedWhileItWaits_Runs") {
   Open("orders", "k1");
