--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -494,6 +494,14 @@
   m_metrics->Count(absl::StrCat("target_connections/", event));
 }
 
+size_t Gateway::Waiting() const {
+  size_t count = 0;
+  for (const auto& [name, group] : m_groups) {
+    count += group.waiting.size();
+  }
+  return count;
+}
+
 size_t Gateway::TargetConnections() const {
   size_t count = 0;
   for (const auto& [name, group] : m_groups) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -79,6 +79,8 @@
   // Ends open transactions whose commits are not in flight.
   void EndTransactions(const std::string& cause);
   size_t Sessions() const { return m_sessions.size(); }
+  // Statements that wait for a target.
+  size_t Waiting() const;
 
   // The pool of a target to which this instance has connections of its own, or
   // null.
--- a/Tests/gateway/crowd_test.cc
+++ b/Tests/gateway/crowd_test.cc
@@ -129,7 +129,9 @@
   Run(absl::Milliseconds(60));
   const int ran = m_ran;
   REQUIRE(ran < 50);
+  REQUIRE(m_gateway.Waiting() > 50);
   m_callers.clear();
+  CHECK(m_gateway.Waiting() == 0);
   Run(absl::Seconds(1));
   CHECK(m_ran == ran);
   Arrive(1, "orders", StatementKind::kWrite);
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -285,6 +285,15 @@
       });
       return;
     }
+    auto finished = std::make_shared<bool>(false);
+    done = [finished, done = std::move(done)](Result<RunResponse> answer) {
+      if (!std::exchange(*finished, true)) {
+        done(std::move(answer));
+      }
+    };
+    loop.Add(timeout, [done]() {
+      done(Error{ErrorKind::kUnavailable, "no answer in time", ""});
+    });
     loop.Add(kHop, [this, address, query, timeout, done]() {
       instances.at(address)->lender.OnRun(
           query, [this, timeout, done](const RunResponse& response) {
