--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -499,6 +499,14 @@
   m_metrics->Count(absl::StrCat("target_connections/", event));
 }
 
+size_t Gateway::Waiting() const {
+  size_t count = 0;
+  for (const auto& [name, group] : m_groups) {
+    count += group.waiting.size();
+  }
+  return count;
+}
+
 size_t Gateway::TargetConnections() const {
   size_t count = 0;
   for (const auto& [name, group] : m_groups) {
@@ -608,6 +616,9 @@
               << " refused=" << refused.size();
   }
   for (const auto& [session, retry_after] : refused) {
+    if (session->WaitingRequest() == nullptr) {
+      continue;
+    }
     m_metrics->Count("refusals/backlog");
     Dequeue(session);
     session->Refuse(ReplyCode::kBusy, "the backlog is too long", retry_after);
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -80,6 +80,8 @@
   // Ends open transactions whose commits are not in flight.
   void EndTransactions(const std::string& cause);
   size_t Sessions() const { return m_sessions.size(); }
+  // Statements that wait for a target.
+  size_t Waiting() const;
 
   // The pool of a target to which this instance has connections of its own, or
   // null.
@@ -109,6 +111,8 @@
   // `position` is the one that the primary's reply to the commit showed.
   bool MayAcknowledgeCommit(const TargetPool* pool,
                             const std::optional<Position>& position) const;
+  // False if any target may run the statement.
+  static bool NeedsPrimary(const TargetRequest& request);
   // Whether the read that `pool` has not answered for `waited` is run again at
   // another target, which has to know `required`.
   bool MayRepeatRead(const TargetPool* pool,
@@ -199,7 +203,6 @@
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
   void ServeWaiting(const GroupName& name, Group* group, bool overdue);
-  static bool NeedsPrimary(const TargetRequest& request);
   // Refuses the waiting statements that clearly cannot be served in time.
   void RefuseHopeless(const GroupName& name, Group* group);
   bool TryServe(const GroupName& name, Group* group, CallerSession* session);
--- a/Tests/gateway/crowd_test.cc
+++ b/Tests/gateway/crowd_test.cc
@@ -2,6 +2,7 @@
 // although it cannot serve them, refuses statements that it could serve, or
 // does work for callers that have left.
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -91,7 +92,6 @@
   const uint64_t early = Count("refusals/backlog");
   CHECK(early > Count("refusals/queue_deadline"));
   std::set<std::string> texts;
-  absl::Duration longest;
   for (const auto& caller : m_callers) {
     const Reply& reply = caller->link.replies[0];
     if (reply.error_text.find("the backlog is too long") != std::string::npos) {
@@ -129,7 +129,9 @@
   Run(absl::Milliseconds(60));
   const int ran = m_ran;
   REQUIRE(ran < 50);
+  REQUIRE(m_gateway.Waiting() > 50);
   m_callers.clear();
+  CHECK(m_gateway.Waiting() == 0);
   Run(absl::Seconds(1));
   CHECK(m_ran == ran);
   Arrive(1, "orders", StatementKind::kWrite);
