--- a/Source/decision/even_load_reads.cc
+++ b/Source/decision/even_load_reads.cc
@@ -14,9 +14,10 @@
 const Registration<ReadPolicy, EvenLoadReads, absl::BitGenRef> g_registration(
     "even_load");
 
-// Numbers of statements change within a few statements' times (5 to 34 ms), the
-// moving average of the latency within about ten of them.
-constexpr absl::Duration kLoadTimeConstant = absl::Milliseconds(250);
+// Numbers of statements change within a few statements' times (5 to 34 ms), but
+// a chooser reads from a group only once or twice a second; older reports say
+// little. The moving average of the latency lasts for about ten statements.
+constexpr absl::Duration kLoadTimeConstant = absl::Milliseconds(500);
 constexpr absl::Duration kLatencyTimeConstant = absl::Seconds(2);
 // Weight of the group's mean beside the reports, whose weight is 1 when new. A
 // lender sees only its own connections, so that a report counts half at most.
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -78,9 +78,7 @@
       m_lent_reads(loop, metrics) {}
 
 Gateway::~Gateway() {
-  if (m_borrowing != nullptr) {
-    m_borrowing->SetObserver(nullptr);
-  }
+  SetLending(nullptr, nullptr);
   *m_alive = false;
 }
 
@@ -89,9 +87,14 @@
 }
 
 void Gateway::SetLending(BorrowingDriver* borrowing, ConnectionLender* lender) {
+  if (m_borrowing != nullptr) {
+    m_borrowing->SetObserver(nullptr);
+  }
   m_borrowing = borrowing;
   m_lender = lender;
-  m_borrowing->SetObserver(&m_lent_reads);
+  if (m_borrowing != nullptr) {
+    m_borrowing->SetObserver(&m_lent_reads);
+  }
 }
 
 void Gateway::Start() {
--- a/Tests/gateway/session_fixture.h
+++ b/Tests/gateway/session_fixture.h
@@ -58,6 +58,10 @@
       const WorkspaceName& workspace,
       std::function<void(Result<Position>)> on_open,
       std::function<void(Error)> on_close) override {
+    if (borrowing != nullptr) {
+      return borrowing->Open(target, workspace, std::move(on_open),
+                             std::move(on_close));
+    }
     const int number = ++m_opened;
     opened_to.insert(target.id);
     workspaces[number] = workspace;
@@ -92,6 +96,8 @@
   std::set<TargetId> opened_to;
   std::map<int, WorkspaceName> workspaces;  // By connection.
   bool hold_setup = false;
+  // If set, opens the connections instead; must not use this object itself.
+  TargetDriver* borrowing = nullptr;
 
  private:
   void OnCommand(SentCommand command) {
