--- a/Source/decision/even_load_reads.cc
+++ b/Source/decision/even_load_reads.cc
@@ -73,12 +73,14 @@
 // nearly all work is taken away at once, and for long enough to be noticed less
 // than once in ten reads. A single chooser that is wrong costs little.
 constexpr double kFailedFactor = 0.05;
-constexpr double kSlowFactor = 0.1;
-constexpr absl::Duration kRecovery = absl::Seconds(20);
-// The recovery doubles with each further loss, as when a target flaps.
-constexpr absl::Duration kLongestRecovery = absl::Seconds(60);
+constexpr absl::Duration kFailedRecovery = absl::Seconds(20);
+constexpr absl::Duration kLongestFailedRecovery = absl::Seconds(60);
+// Signs of load end with the load, so that their recovery is shorter.
+constexpr double kLoadedFactor = 0.1;
+constexpr absl::Duration kLoadedRecovery = absl::Seconds(5);
+constexpr absl::Duration kLongestLoadedRecovery = absl::Seconds(20);
 // Replicas usually lag by 20 to 30 ms and targets are busy at times, so that
-// single refusals are normal. Several in a row count as failures.
+// single refusals are normal. Several in a row count fully.
 constexpr double kRefusedFactor = 0.5;
 constexpr absl::Duration kRefusedRecovery = absl::Seconds(2);
 constexpr int kRefusalsInRow = 2;
@@ -96,6 +98,15 @@
 
 }  // namespace
 
+const EvenLoadReads::Loss EvenLoadReads::kFailure = {
+    kFailedFactor, kFailedRecovery, kLongestFailedRecovery};
+const EvenLoadReads::Loss EvenLoadReads::kOverload = {
+    kLoadedFactor, kLoadedRecovery, kLongestLoadedRecovery};
+const EvenLoadReads::Loss EvenLoadReads::kRefusal = {
+    kRefusedFactor, kRefusedRecovery, kRefusedRecovery};
+const EvenLoadReads::Loss EvenLoadReads::kReturn = {
+    kReturnShare, kReturnRecovery, kReturnRecovery};
+
 EvenLoadReads::Target& EvenLoadReads::Entry(const TargetId& id,
                                             absl::Time now) {
   if (m_targets.size() >= kMaxTargets && !m_targets.contains(id)) {
@@ -130,7 +141,7 @@
   entry.reports[lender] = {load, now};
   if (IsSlow(target, now) && now - entry.reported_slow > kSlowReportInterval) {
     entry.reported_slow = now;
-    Reduce(&entry, {kSlowFactor, kRecovery, true}, now);
+    Reduce(&entry.by_faults, kFailure, now);
   }
   return true;
 }
@@ -148,49 +159,49 @@
       entry.refusals_in_row = 0;
       return false;
     case ReadOutcome::kFailed:
-      Reduce(&entry, {kFailedFactor, kRecovery, true}, now);
+      Reduce(&entry.by_faults, kFailure, now);
       return true;
     case ReadOutcome::kSlow:
-      Reduce(&entry, {kSlowFactor, kRecovery, true}, now);
+      Reduce(&entry.by_load, kOverload, now);
       return true;
     case ReadOutcome::kRefused:
+      Reduce(&entry.by_load,
+             ++entry.refusals_in_row < kRefusalsInRow ? kRefusal : kOverload,
+             now);
+      return true;
     case ReadOutcome::kLagging:
-      if (++entry.refusals_in_row < kRefusalsInRow) {
-        Reduce(&entry, {kRefusedFactor, kRefusedRecovery, false}, now);
-      } else {
-        Reduce(&entry, {kFailedFactor, kRecovery, true}, now);
-      }
+      Reduce(&entry.by_faults,
+             ++entry.refusals_in_row < kRefusalsInRow ? kRefusal : kFailure,
+             now);
       return true;
   }
   return false;
 }
 
-double EvenLoadReads::ShareOf(const Target& target, absl::Time now) {
-  if (target.lost_at == absl::InfinitePast()) {
+double EvenLoadReads::ShareAt(const Share& share, absl::Time now) {
+  if (share.lost_at == absl::InfinitePast()) {
     return 1.0;
   }
   // The third power keeps the share small for the first half of the time.
   const double passed =
-      std::min(1.0, absl::FDivDuration(now - target.lost_at, target.recovery));
+      std::min(1.0, absl::FDivDuration(now - share.lost_at, share.recovery));
   return std::max(kLeastShare,
-                  target.share_at_loss +
-                      (1.0 - target.share_at_loss) * std::pow(passed, 3));
+                  share.at_loss + (1.0 - share.at_loss) * std::pow(passed, 3));
 }
 
-void EvenLoadReads::Reduce(Target* target, const Loss& loss, absl::Time now) {
-  const double share = ShareOf(*target, now);
-  const bool again = target->lost_at != absl::InfinitePast() &&
-                     now - target->lost_at < 2 * target->recovery;
+void EvenLoadReads::Reduce(Share* share, const Loss& loss, absl::Time now) {
+  const double before = ShareAt(*share, now);
+  const bool again = share->lost_at != absl::InfinitePast() &&
+                     now - share->lost_at < 2 * share->recovery;
+  // The recovery doubles with each further loss, as when a target flaps.
   if (!again) {
-    target->recovery = loss.recovery;
-  } else if (loss.grows) {
-    target->recovery =
-        std::clamp(2 * target->recovery, loss.recovery, kLongestRecovery);
-  } else {
-    target->recovery = std::max(target->recovery, loss.recovery);
+    share->recovery = loss.recovery;
+  } else if (share->recovery < loss.longest_recovery) {
+    share->recovery =
+        std::clamp(2 * share->recovery, loss.recovery, loss.longest_recovery);
   }
-  target->share_at_loss = std::max(kLeastShare, share * loss.factor);
-  target->lost_at = now;
+  share->at_loss = std::max(kLeastShare, before * loss.factor);
+  share->lost_at = now;
 }
 
 EvenLoadReads::Estimate EvenLoadReads::EstimateOf(const Target& target,
@@ -245,7 +256,8 @@
     believed.waiting /= weights;
   }
   believed.latency = EstimateOf(found->second, now).latency;
-  believed.share = ShareOf(found->second, now);
+  believed.share = ShareAt(found->second.by_faults, now) *
+                   ShareAt(found->second.by_load, now);
   return believed;
 }
 
@@ -257,7 +269,7 @@
     if (target.last_candidate < m_last_choice &&
         now - target.last_candidate > kAbsence &&
         m_last_choice != absl::InfinitePast()) {
-      Reduce(&target, {kReturnShare, kReturnRecovery, false}, now);
+      Reduce(&target.by_faults, kReturn, now);
     }
     target.last_candidate = now;
   }
@@ -280,19 +292,44 @@
     }
   }
   std::vector<size_t>& eligible = preferred.empty() ? startable : preferred;
-  double best_share = 0;
+  // Shares count relative to the best, since a fault that all targets share
+  // tells nothing about one.
+  double best_replica = 0;
   for (const size_t index : eligible) {
-    best_share =
-        std::max(best_share, ShareOf(m_targets[candidates[index].id], now));
+    if (!candidates[index].primary) {
+      best_replica = std::max(
+          best_replica, ShareAt(m_targets[candidates[index].id].by_load, now));
+    }
   }
-  // Relative to the best, since a fault that all targets share tells nothing
-  // about one.
-  std::vector<size_t> drawn;
+  std::vector<std::pair<double, double>> shares;  // By faults and by load.
+  std::pair<double, double> best;
   for (const size_t index : eligible) {
-    const double share = ShareOf(m_targets[candidates[index].id], now);
-    if (share >= best_share || absl::Bernoulli(m_random, share / best_share)) {
-      drawn.push_back(index);
+    const Target& target = m_targets[candidates[index].id];
+    std::pair<double, double> share = {ShareAt(target.by_faults, now),
+                                       ShareAt(target.by_load, now)};
+    if (candidates[index].primary && best_replica > 0) {
+      share.second = std::min(share.second, best_replica);
     }
+    best = {std::max(best.first, share.first),
+            std::max(best.second, share.second)};
+    shares.push_back(share);
+  }
+  std::vector<size_t> drawn;
+  std::optional<size_t> likeliest;
+  double highest = 0;
+  for (size_t place = 0; place < eligible.size(); ++place) {
+    const double probability =
+        shares[place].first / best.first * shares[place].second / best.second;
+    if (probability > highest) {
+      highest = probability;
+      likeliest = eligible[place];
+    }
+    if (probability >= 1 || absl::Bernoulli(m_random, probability)) {
+      drawn.push_back(eligible[place]);
+    }
+  }
+  if (drawn.empty() && likeliest) {
+    drawn.push_back(*likeliest);
   }
   return drawn;
 }
--- a/Source/decision/even_load_reads.h
+++ b/Source/decision/even_load_reads.h
@@ -10,7 +10,8 @@
 // A target that fails, refuses or delays statements, lags or has been absent
 // takes part in a draw only with a probability, its share, that falls at once
 // and rises slowly. The share bounds the work of a target that returns, however
-// idle it looks.
+// idle it looks. Refused and withdrawn statements are signs of load: they never
+// move reads from all replicas to the primary, which the load itself decides.
 
 #ifndef SOURCE_DECISION_EVEN_LOAD_READS_H_
 #define SOURCE_DECISION_EVEN_LOAD_READS_H_
@@ -51,6 +52,17 @@
     TargetLoad load;
     absl::Time at;  // When it arrived here.
   };
+  struct Loss {
+    double factor = 1;  // Remaining fraction of the share.
+    absl::Duration recovery;
+    absl::Duration longest_recovery;  // After repeated losses.
+  };
+  // Rises from `at_loss` at `lost_at` to 1 within `recovery`.
+  struct Share {
+    double at_loss = 1.0;
+    absl::Time lost_at = absl::InfinitePast();
+    absl::Duration recovery;
+  };
   struct Target {
     std::map<InstanceId, Report> reports;  // The newest of each lender.
     // Choices of this object that have not ended. Newer than any report, and a
@@ -58,18 +70,11 @@
     std::deque<absl::Time> own_choices;
     absl::Time last_candidate = absl::InfinitePast();
     absl::Time last_used = absl::InfinitePast();
-    // The share rises from `share_at_loss` at `lost_at` to 1 within `recovery`.
-    double share_at_loss = 1.0;
-    absl::Time lost_at = absl::InfinitePast();
-    absl::Duration recovery;
+    Share by_faults;
+    Share by_load;
     int refusals_in_row = 0;
     absl::Time reported_slow = absl::InfinitePast();
   };
-  struct Loss {
-    double factor = 1;  // Remaining fraction of the share.
-    absl::Duration recovery;
-    bool grows = false;  // The recovery doubles if the loss is repeated.
-  };
   struct Estimate {
     double statements = 0;  // At a lender.
     double lenders = 0;     // Sum of the weights of their reports.
@@ -79,8 +84,13 @@
     double latency_known = 0;
   };
 
-  static double ShareOf(const Target& target, absl::Time now);
-  static void Reduce(Target* target, const Loss& loss, absl::Time now);
+  static const Loss kFailure;
+  static const Loss kOverload;
+  static const Loss kRefusal;
+  static const Loss kReturn;
+
+  static double ShareAt(const Share& share, absl::Time now);
+  static void Reduce(Share* share, const Loss& loss, absl::Time now);
   static Estimate EstimateOf(const Target& target, absl::Time now);
   // Whether the reported latency is far above that of all others.
   bool IsSlow(const TargetId& id, absl::Time now) const;
--- a/Tests/decision/even_load_reads_test.cc
+++ b/Tests/decision/even_load_reads_test.cc
@@ -713,6 +713,51 @@
   }
 }
 
+// Guards against an overload that moves all reads to the primary, and against
+// replicas that fail and keep their reads.
+TEST_CASE_FIXTURE(EvenLoadFixture,
+                  "EvenLoadReads_ReplicasOverloaded_PrimaryIsNotFlooded") {
+  m_candidates[0].primary = true;
+  for (const ReadOutcome outcome :
+       {ReadOutcome::kRefused, ReadOutcome::kSlow}) {
+    for (int count = 0; count < 5; ++count) {
+      m_policy.OnOutcome("t1", outcome, m_now);
+      m_policy.OnOutcome("t2", outcome, m_now);
+    }
+  }
+  CHECK(Choices()[0] < kFewest);
+  // One of them has recovered.
+  m_policy.OnOutcome("t1", ReadOutcome::kSlow, m_now + absl::Seconds(60));
+  m_now += absl::Seconds(60);
+  const std::vector<int> choices = Choices();
+  CHECK(choices[0] < kMost);
+  CHECK(choices[1] < kFewest / 2);
+
+  for (int count = 0; count < 5; ++count) {
+    m_policy.OnOutcome("t1", ReadOutcome::kFailed, m_now);
+    m_policy.OnOutcome("t2", ReadOutcome::kFailed, m_now);
+  }
+  CHECK(Choices()[0] > 2700);
+}
+
+// Guards against single refusals for lag, which are usual, that take a
+// replica's work, and against a replica that lags for long and keeps it.
+TEST_CASE_FIXTURE(EvenLoadFixture, "EvenLoadReads_TargetLags_LosesItsWork") {
+  m_policy.OnOutcome("t1", ReadOutcome::kLagging, m_now);
+  m_policy.OnOutcome("t1", ReadOutcome::kDone, m_now);
+  m_now += absl::Seconds(2);
+  for (const int choices : Choices()) {
+    CHECK(choices > kFewest);
+    CHECK(choices < kMost);
+  }
+  m_policy.OnOutcome("t1", ReadOutcome::kLagging, m_now);
+  m_policy.OnOutcome("t1", ReadOutcome::kLagging, m_now);
+  m_now += absl::Seconds(2);
+  CHECK(Choices()[1] < kMostAtFaulty * 3000);
+  m_now += absl::Seconds(20);
+  CHECK(Choices()[1] > kFewest);
+}
+
 // Guards against a fault of all targets that leaves none to choose.
 TEST_CASE_FIXTURE(EvenLoadFixture,
                   "EvenLoadReads_AllTargetsFail_AllStayInUse") {
