--- a/Tests/decision/even_load_reads_test.cc
+++ b/Tests/decision/even_load_reads_test.cc
@@ -84,7 +84,7 @@
         m_targets(kTargets) {
     for (size_t index = 0; index < kChoosers; ++index) {
       auto chooser = std::make_unique<Chooser>();
-      chooser->random.seed(options.seed * 1000 + index);
+      chooser->random.seed(uint64_t{options.seed} * 1000 + index);
       // 46, 27, 18 and 9 of the choosers; two lenders in each data centre, one
       // in the last.
       constexpr std::array<size_t, 11> kDataCentres = {0, 0, 0, 0, 0, 1,
