--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -81,9 +81,7 @@
       m_lent_reads(loop, metrics) {}
 
 Gateway::~Gateway() {
-  if (m_borrowing != nullptr) {
-    m_borrowing->SetObserver(nullptr);
-  }
+  SetLending(nullptr, nullptr);
   *m_alive = false;
 }
 
@@ -92,11 +90,18 @@
 }
 
 void Gateway::SetLending(BorrowingDriver* borrowing, ConnectionLender* lender) {
+  if (m_borrowing != nullptr) {
+    m_borrowing->SetObserver(nullptr);
+  }
   m_borrowing = borrowing;
   m_lender = lender;
-  m_borrowing->SetMetrics(m_metrics);
-  m_lender->SetMetrics(m_metrics);
-  m_borrowing->SetObserver(&m_lent_reads);
+  if (m_borrowing != nullptr) {
+    m_borrowing->SetMetrics(m_metrics);
+    m_borrowing->SetObserver(&m_lent_reads);
+  }
+  if (m_lender != nullptr) {
+    m_lender->SetMetrics(m_metrics);
+  }
 }
 
 void Gateway::Start() {
