--- a/Tests/platform/soak/instance_process.cc
+++ b/Tests/platform/soak/instance_process.cc
@@ -35,7 +35,8 @@
        << m_settings.first_port + 3 << "\n"
        << "platform.address=" << m_settings.store << "\n"
        << "cloudApi.address=" << m_settings.promotions << "\n"
-       << "bounds.graceS=4\n";
+       << "bounds.graceS=4\n"
+       << m_settings.more_lines;
 }
 
 InstanceProcess::~InstanceProcess() {
--- a/Tests/platform/soak/instance_process.h
+++ b/Tests/platform/soak/instance_process.h
@@ -21,6 +21,8 @@
   // Port for callers. The next port serves the readiness check, and the two
   // after it serve peers.
   uint16_t first_port = 0;
+  // Further lines of the settings file, each with its end of line.
+  std::string more_lines;
 };
 
 class InstanceProcess {
@@ -35,6 +37,8 @@
   uint16_t ReadyPort() const { return m_settings.first_port + 1; }
   const std::string& Name() const { return m_settings.name; }
   bool Running() const { return m_process > 0; }
+  // Id of the running process.
+  pid_t Process() const { return m_process; }
   void Start();
   void Signal(int number) const;
   // Sends SIGKILL and waits until the process has ended.
