--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -31,6 +31,11 @@
 // A statement that still waits for a target after this fraction of its timeout
 // is refused; the rest of the timeout lets the caller try another instance.
 constexpr double kQueueTimeoutFraction = 0.7;
+// Session values and prepared statements of one session. A message of the
+// largest size, 1 MiB, fits.
+constexpr size_t kMaxStateBytes = 2 << 20;
+// Of an entry that holds a value or a prepared statement, besides its texts.
+constexpr size_t kStateEntryBytes = 160;
 
 // Starts the error text for callers whose statement did not run.
 std::string RetryHint(
@@ -39,6 +44,10 @@
                       " ms");
 }
 
+size_t StateBytesOf(const std::string& name, const std::string& text) {
+  return name.size() + text.size() + kStateEntryBytes;
+}
+
 }  // namespace
 
 CallerSession::CallerSession(Gateway* gateway,
@@ -192,8 +201,10 @@
 
 void CallerSession::OnStatement(Statement statement) {
   if (m_request) {
-    ReplyLocally(ReplyCode::kMalformed,
-                 "a statement is already in progress; wait for its reply");
+    // The network layer hands over one statement at a time. A reply here would
+    // be taken for that of the statement in progress.
+    LOG(ERROR) << "event=statement_in_progress outcome=session_closed";
+    m_link->Close();
     return;
   }
   if (!Authorize()) {
@@ -215,18 +226,28 @@
   }
   switch (statement.kind) {
     case StatementKind::kSet:
+      if (!KeepState(statement)) {
+        return;
+      }
       m_values[statement.name] = statement.argument;
       ReplyLocally(ReplyCode::kComplete, "");
       return;
     case StatementKind::kPrepareRead:
     case StatementKind::kPrepareWrite:
+      if (!KeepState(statement)) {
+        return;
+      }
       m_prepared[statement.name] = {
           statement.kind, statement.argument,
           m_gateway->PreparedNameAtTarget(statement.kind, statement.argument)};
       ReplyLocally(ReplyCode::kComplete, "");
       return;
     case StatementKind::kDeallocate:
-      m_prepared.erase(statement.name);
+      if (const auto found = m_prepared.find(statement.name);
+          found != m_prepared.end()) {
+        m_state_bytes -= StateBytesOf(found->first, found->second.shape);
+        m_prepared.erase(found);
+      }
       ReplyLocally(ReplyCode::kComplete, "");
       return;
     case StatementKind::kBegin:
@@ -263,6 +284,33 @@
   Submit(std::move(statement));
 }
 
+bool CallerSession::KeepState(const Statement& statement) {
+  size_t replaced = 0;
+  if (statement.kind == StatementKind::kSet) {
+    const auto found = m_values.find(statement.name);
+    if (found != m_values.end()) {
+      replaced = StateBytesOf(found->first, found->second);
+    }
+  } else {
+    const auto found = m_prepared.find(statement.name);
+    if (found != m_prepared.end()) {
+      replaced = StateBytesOf(found->first, found->second.shape);
+    }
+  }
+  const size_t kept = m_state_bytes - replaced +
+                      StateBytesOf(statement.name, statement.argument);
+  if (kept > kMaxStateBytes) {
+    m_gateway->GetMetrics()->Count("statements/session_state_too_large");
+    ReplyLocally(ReplyCode::kTooLarge,
+                 absl::StrCat("the session's values and prepared statements "
+                              "would exceed ",
+                              kMaxStateBytes, " bytes"));
+    return false;
+  }
+  m_state_bytes = kept;
+  return true;
+}
+
 void CallerSession::Begin(const Statement& statement) {
   const Route* const route = m_gateway->FindRoute(m_database);
   if (m_in_transaction) {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -70,6 +70,8 @@
   bool Idle() const { return !m_request && !m_in_transaction; }
   bool InTransaction() const { return m_in_transaction; }
   const std::string& Database() const { return m_database; }
+  // Memory of the session values and prepared statements.
+  size_t StateBytes() const { return m_state_bytes; }
   void CloseIdle();
   // Closes the session if it has been idle since `idle_since` or earlier.
   void CloseIdleSince(absl::Time idle_since);
@@ -113,6 +115,9 @@
     std::string target_name;
   };
 
+  // Refuses the statement, which sets a value or prepares a statement, if the
+  // session would keep too much. Otherwise counts it.
+  bool KeepState(const Statement& statement);
   // Refuses the statement and closes the session if the key does not admit it.
   // Otherwise the session has the key's workspace.
   bool Authorize();
@@ -154,6 +159,7 @@
   CallerLink* const m_link;
   SessionValues m_values;
   std::map<std::string, Prepared> m_prepared;
+  size_t m_state_bytes = 0;  // Of m_values and m_prepared.
   Position m_last_write_position;
 
   bool m_in_transaction = false;
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -29,6 +29,9 @@
 constexpr absl::Duration kReturnTimeout = absl::Seconds(1);
 // Longer than the timeout of any call.
 constexpr absl::Duration kRetiredChannelLifetime = absl::Seconds(10);
+// A larger message fails its call. It is gRPC's default: a call carries a
+// statement of up to 1 MiB with the commands before it, or its reply.
+constexpr int kMaxMessageBytes = 4 << 20;
 
 proto::LentCommand ToMessage(const TargetCommand& command) {
   proto::LentCommand message;
@@ -322,6 +325,8 @@
   grpc::ServerBuilder builder;
   builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  builder.SetMaxSendMessageSize(kMaxMessageBytes);
   builder.RegisterService(m_service.get());
   m_server = builder.BuildAndStart();
   if (!m_server) {
@@ -344,6 +349,8 @@
     // A new channel must not reuse the broken connection of a dropped channel
     // to the same address.
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
+    arguments.SetMaxSendMessageSize(kMaxMessageBytes);
     // Proxies in the environment must not redirect calls between instances.
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     channel = grpc::CreateCustomChannel(
