--- a/Source/gateway/connection_lender.cc
+++ b/Source/gateway/connection_lender.cc
@@ -16,6 +16,10 @@
 constexpr size_t kMaxWaiting = 64;
 // Of these, requests of one workspace, so that the others find room.
 constexpr size_t kMaxWaitingOfWorkspace = 16;
+// A request with longer commands is refused while those of all requests take
+// kMaxHeldBytes. The smallest machine, 112 MB, has this much for them.
+constexpr size_t kLongCommandsBytes = 16 << 10;
+constexpr size_t kMaxHeldBytes = 8 << 20;
 // Connections that are opened at the same time for a workspace.
 constexpr size_t kMaxOpening = 2;
 // The upper bits of a loan's number identify the run of the instance.
@@ -26,6 +30,15 @@
          kind == StatementKind::kPrepareWrite;
 }
 
+size_t CommandBytes(const RunQuery& query) {
+  size_t bytes = 0;
+  for (const TargetCommand& command : query.commands) {
+    bytes +=
+        command.text.size() + command.name.size() + command.argument.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 ConnectionLender::ConnectionLender(EventLoop* loop,
@@ -76,6 +89,11 @@
     Refuse(answer, "this instance does not lend connections to the target");
     return;
   }
+  const size_t bytes = CommandBytes(query);
+  if (bytes > kLongCommandsBytes && HeldBytes() + bytes > kMaxHeldBytes) {
+    Refuse(answer, "too many long commands wait", RunOutcome::kNoConnection);
+    return;
+  }
   std::list<Request>& waiting = m_waiting[key];
   const size_t same_workspace = std::count_if(
       waiting.begin(), waiting.end(), [&query](const Request& request) {
@@ -102,6 +120,27 @@
   Serve({pool->Target().group, pool->Target().id});
 }
 
+size_t ConnectionLender::HeldBytes() const {
+  size_t bytes = 0;
+  for (const auto& [key, waiting] : m_waiting) {
+    for (const Request& request : waiting) {
+      bytes += CommandBytes(request.query);
+    }
+  }
+  for (const auto& [id, loan] : m_loans) {
+    if (!loan.answer) {
+      continue;
+    }
+    bytes += CommandBytes(loan.query);
+    for (const Reply& reply : loan.replies) {
+      for (const std::string& row : reply.rows) {
+        bytes += row.size();
+      }
+    }
+  }
+  return bytes;
+}
+
 void ConnectionLender::Serve(const PoolKey& key) {
   const auto waiting = m_waiting.find(key);
   if (waiting == m_waiting.end() || waiting->second.empty()) {
@@ -239,6 +278,10 @@
   if (!loan.answer) {
     return;
   }
+  if (loan.next == 0) {
+    Refuse(loan.answer, "the connection was lost while it was reset");
+    return;
+  }
   RunResponse response;
   response.outcome = RunOutcome::kConnectionLost;
   response.replies = std::move(loan.replies);
--- a/Source/gateway/connection_lender.h
+++ b/Source/gateway/connection_lender.h
@@ -62,6 +62,8 @@
   };
 
   void Serve(const PoolKey& key);
+  // Memory of the commands and replies of all requests.
+  size_t HeldBytes() const;
   void StartLoan(TargetConnection* connection, Request request);
   void Reset(uint64_t id);
   void RunNext(uint64_t id);
--- a/Source/gateway/target_pool.cc
+++ b/Source/gateway/target_pool.cc
@@ -36,6 +36,10 @@
 // Idle connections are closed after this if none is guaranteed. The next
 // statement of a session often follows within this time.
 constexpr absl::Duration kOnDemandIdleTimeout = absl::Milliseconds(150);
+// Time limit of a ROLLBACK or RESET. Nobody else may be waiting for its reply,
+// so a lost one would keep the connection busy for ever. A target that answers
+// nothing for 3 s has also given up the connection (its TCP timeout).
+constexpr absl::Duration kCleanupTimeout = absl::Seconds(3);
 // Weight of the newest sample in the moving average of the latency.
 constexpr double kLatencyWeight = 0.15;
 
@@ -312,6 +316,16 @@
   m_observer->OnPoolChanged(this);
 }
 
+void TargetPool::OnCleanupTimeout(TargetConnection* connection) {
+  m_observer->CountConnection("cleanup_timeout");
+  LOG_EVERY_N(WARNING, 100) << "event=cleanup_timeout target=" << m_target.id
+                            << " outcome=connection_closed";
+  OnConnectionLost(
+      connection,
+      Error{ErrorKind::kDeadlineExceeded,
+            "the target did not answer ROLLBACK or RESET", "check the target"});
+}
+
 void TargetPool::Remove(TargetConnection* connection) {
   const auto found = std::find_if(m_connections.begin(), m_connections.end(),
                                   [connection](const auto& candidate) {
@@ -322,6 +336,7 @@
   }
   // The link may be running one of its callbacks, so it is destroyed later.
   std::shared_ptr<TargetConnection> removed(std::move(*found));
+  removed->cleanup_timer.reset();
   if (removed->link) {
     removed->link->Close();
   }
@@ -361,19 +376,30 @@
   if (!connection->unanswered_since) {
     connection->unanswered_since = send_time;
   }
-  connection->link->Send(std::move(command),
-                         [this, connection, send_time, measures_latency,
-                          on_reply = std::move(on_reply)](Reply reply) {
-                           const absl::Time now = m_loop->Now();
-                           m_last_contact = now;
-                           m_consecutive_open_failures = 0;
-                           connection->unanswered_since.reset();
-                           if (measures_latency) {
-                             m_latency = (1 - kLatencyWeight) * m_latency +
-                                         kLatencyWeight * (now - send_time);
-                           }
-                           on_reply(std::move(reply));
-                         });
+  const bool cleans_up = command.kind == StatementKind::kRollback ||
+                         command.kind == StatementKind::kReset;
+  if (cleans_up) {
+    connection->cleanup_timer = m_loop->RunAfter(
+        kCleanupTimeout,
+        [this, connection]() { OnCleanupTimeout(connection); });
+  }
+  connection->link->Send(
+      std::move(command),
+      [this, connection, send_time, measures_latency, cleans_up,
+       on_reply = std::move(on_reply)](Reply reply) {
+        const absl::Time now = m_loop->Now();
+        if (cleans_up) {
+          connection->cleanup_timer.reset();
+        }
+        m_last_contact = now;
+        m_consecutive_open_failures = 0;
+        connection->unanswered_since.reset();
+        if (measures_latency) {
+          m_latency = (1 - kLatencyWeight) * m_latency +
+                      kLatencyWeight * (now - send_time);
+        }
+        on_reply(std::move(reply));
+      });
 }
 
 void TargetPool::QueryStatus(
--- a/Source/gateway/target_pool.h
+++ b/Source/gateway/target_pool.h
@@ -46,6 +46,8 @@
   absl::Time opened_at;
   // When the oldest unanswered command was sent.
   std::optional<absl::Time> unanswered_since;
+  // Runs while a ROLLBACK or RESET is unanswered.
+  std::unique_ptr<Timer> cleanup_timer;
 };
 
 // Implemented by the pool's owner.
@@ -94,7 +96,8 @@
   // back any transaction open on it.
   void CloseAndNotify(TargetConnection* connection);
 
-  // Sends on a busy connection and updates the target's statistics.
+  // Sends on a busy connection and updates the target's statistics. A
+  // connection on which a ROLLBACK or RESET stays unanswered is closed as lost.
   void Send(TargetConnection* connection,
             TargetCommand command,
             ReplyHandler on_reply);
@@ -125,6 +128,7 @@
  private:
   void OnOpened(TargetConnection* connection, const Result<Position>& opened);
   void OnConnectionLost(TargetConnection* connection, const Error& error);
+  void OnCleanupTimeout(TargetConnection* connection);
   TargetConnection* Open(const WorkspaceName& workspace, bool direct);
   // Borrows a connection while the target accepts none. The connection is open
   // at once.
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -429,5 +429,61 @@
   CHECK(LastReply().code == ReplyCode::kComplete);
 }
 
+// A connection whose ROLLBACK stays unanswered must not stay busy for ever:
+// else lost answers use up the pool one by one.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_RollbackAnswersLost_PoolIsWholeAgain") {
+  m_driver.lose_cleanup = true;
+  // More often than there are connections to the primary.
+  int served = 0;
+  for (int round = 0; round < 12; ++round) {
+    RecordingCaller caller;
+    CallerSession session(&m_gateway, "orders", "", &caller);
+    session.OnStatement(MakeStatement(StatementKind::kBegin, "BEGIN"));
+    session.OnStatement(MakeStatement(StatementKind::kWrite, "WRITE k v"));
+    m_loop.RunFor(absl::Milliseconds(20));
+    if (m_driver.sent.empty()) {
+      break;  // None of the pool is left.
+    }
+    ++served;
+    ReplyToOldest(ReplyCode::kComplete, TransactionState::kOpen);
+    session.OnStatement(MakeStatement(StatementKind::kRollback, "ROLLBACK"));
+  }
+  REQUIRE(served < 12);
+  REQUIRE(served > 1);
+  m_driver.lose_cleanup = false;
+  m_loop.RunFor(absl::Seconds(4));
+  m_driver.sent.clear();
+  // As many statements as before run at the same time.
+  std::vector<std::unique_ptr<RecordingCaller>> callers;
+  std::vector<std::unique_ptr<CallerSession>> sessions;
+  for (int index = 0; index < served; ++index) {
+    callers.push_back(std::make_unique<RecordingCaller>());
+    sessions.push_back(std::make_unique<CallerSession>(&m_gateway, "orders", "",
+                                                       callers.back().get()));
+    sessions.back()->OnStatement(
+        MakeStatement(StatementKind::kWrite, "WRITE k v"));
+  }
+  m_loop.RunFor(absl::Milliseconds(200));
+  CHECK(m_driver.sent.size() == static_cast<size_t>(served));
+}
+
+// Session state is kept for the life of a session, so that it must be bounded.
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_SetsManyLongValues_IsRefusedBeyondLimit") {
+  Open("orders");
+  const std::string value(1000000, 'x');
+  RunStatement(StatementKind::kSet, "SET a", "a", value);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+  RunStatement(StatementKind::kSet, "SET a", "a", value);
+  RunStatement(StatementKind::kSet, "SET a", "a", value);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+  RunStatement(StatementKind::kSet, "SET b", "b", value);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+  RunStatement(StatementKind::kPrepareRead, "PREPARE p", "p", value);
+  CHECK(LastReply().code == ReplyCode::kTooLarge);
+  CHECK(m_session->StateBytes() < 3 * value.size());
+}
+
 }  // namespace
 }  // namespace heatherwick
--- a/Tests/gateway/lending_test.cc
+++ b/Tests/gateway/lending_test.cc
@@ -73,8 +73,9 @@
   std::vector<Ran> ran;  // Statements of borrowers.
   int resets = 0;
   bool fail_setup = false;
-  size_t lingering = 0;  // Connections of machines that have lost power.
-  bool hold = false;     // Statements get no reply.
+  size_t lingering = 0;      // Connections of machines that have lost power.
+  bool hold = false;         // Statements get no reply.
+  bool lose_resets = false;  // RESET gets no reply; the connection stays open.
   absl::Duration open_time = absl::Milliseconds(12);
   absl::Duration statement_time = absl::Milliseconds(12);
 
@@ -130,6 +131,9 @@
     switch (command.kind) {
       case StatementKind::kReset:
         ++resets;
+        if (lose_resets) {
+          return;
+        }
         connection.values.clear();
         break;
       case StatementKind::kSet:
@@ -610,6 +614,39 @@
   }
 }
 
+// A lender's connection whose RESET stays unanswered must not stay lent for
+// ever: else lost answers use up the lender's connections one by one.
+TEST_CASE_FIXTURE(LendingFixture, "Lending_ResetAnswersLost_PoolIsWholeAgain") {
+  const auto run_at_all = [this](const std::string& id) {
+    for (size_t borrower = 0; borrower < m_borrowers.size(); ++borrower) {
+      Caller& caller = Open(borrower);
+      Send(&caller, StatementKind::kSet, "", "language", "ro");
+      Send(&caller, StatementKind::kRead, absl::StrCat(id, borrower));
+    }
+    Run(absl::Milliseconds(400));
+  };
+  run_at_all("a");
+  m_fleet.database.lose_resets = true;
+  // Until all connections wait for an answer.
+  run_at_all("b");
+  run_at_all("c");
+  const int ran = static_cast<int>(m_fleet.database.ran.size());
+  run_at_all("d");
+  CHECK(m_fleet.database.ran.size() == static_cast<size_t>(ran));
+  CHECK(Loans() > 0);
+  m_fleet.database.lose_resets = false;
+  Run(absl::Seconds(4));
+  CHECK(Loans() == 0);
+  for (size_t borrower = 0; borrower < m_borrowers.size(); ++borrower) {
+    Caller& caller = Open(borrower);
+    Send(&caller, StatementKind::kWrite, absl::StrCat("w", borrower));
+    Run();
+    REQUIRE(caller.replies.size() == 1);
+    CHECK(caller.replies[0].code == ReplyCode::kComplete);
+    CHECK(Count(absl::StrCat("w", borrower)) == 1);
+  }
+}
+
 // Guards against borrowers that leave all lenders because one target is silent.
 TEST_CASE_FIXTURE(LendingFixture, "Lending_TargetSilent_LendersAreKept") {
   m_fleet.database.hold = true;
--- a/Tests/gateway/session_fixture.h
+++ b/Tests/gateway/session_fixture.h
@@ -92,6 +92,8 @@
   std::set<TargetId> opened_to;
   std::map<int, WorkspaceName> workspaces;  // By connection.
   bool hold_setup = false;
+  // ROLLBACK and RESET get no reply, on connections that stay open.
+  bool lose_cleanup = false;
 
  private:
   void OnCommand(SentCommand command) {
@@ -114,6 +116,10 @@
     if (command.command.kind != StatementKind::kStatus) {
       setup.push_back(command.command);
     }
+    if (lose_cleanup && (command.command.kind == StatementKind::kRollback ||
+                         command.command.kind == StatementKind::kReset)) {
+      return;
+    }
     m_loop->Add(absl::Milliseconds(1),
                 [this, reply, number = command.connection,
                  on_reply = std::move(command.on_reply)]() {
