--- a/Tests/platform/end_to_end_test.cc
+++ b/Tests/platform/end_to_end_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Source/base/steady_clock.h"
+#include "Tests/platform/misbehaving/raw_caller.h"
 #include "Tests/platform/platform_fakes.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -103,7 +104,12 @@
       settings.store = ValueOf(ParseEndpoint(store.Address()));
       settings.promotion_api = settings.store;
       endpoints.push_back(settings);
-      daemons.push_back(std::make_unique<PlatformDaemon>(settings));
+      // Shorter than in production, so that the tests of these limits are.
+      CallerLimits limits;
+      limits.start_timeout = absl::Seconds(1);
+      limits.message_timeout = absl::Seconds(1);
+      limits.unread_timeout = absl::Seconds(1);
+      daemons.push_back(std::make_unique<PlatformDaemon>(settings, limits));
       REQUIRE(Ok(daemons.back()->Start()));
       threads.emplace_back([daemon = daemons.back().get(), this, index]() {
         daemon->Run();
@@ -243,6 +249,37 @@
   m_deployment.store.SetBusy(false);
 }
 
+// Callers that stop half-way must not hold a connection for ever, and one that
+// only waits between its messages must keep it.
+TEST_CASE_FIXTURE(EndToEndFixture, "EndToEnd_CallerStops_IsDisconnected") {
+  Caller idle(At(0), "orders");
+  CHECK(absl::StrContains(idle.Query("READ k"), "READY I"));
+  Caller in_transaction(At(0), "orders");
+  CHECK(absl::StrContains(in_transaction.Query("BEGIN"), "READY T"));
+  RawCaller in_start(At(0).port);
+  in_start.Append("STA");
+  in_start.Push(3);
+  RawCaller in_message(At(0).port);
+  in_message.Ask("START orders u1\r\n", absl::Seconds(1));
+  in_message.Append("QUERY q1 READ");
+  in_message.Push(100);
+  // The answers repeat the long name and fill all buffers on the way.
+  RawCaller not_reading(At(0).port);
+  not_reading.Ask("START orders u1\r\n", absl::Seconds(1));
+  for (int index = 0; index < 20; ++index) {
+    not_reading.Append(absl::StrCat("QUERY q", index, " EXECUTE ",
+                                    std::string(500000, 'x'), " 1\r\n"));
+  }
+  CHECK(Within(absl::Seconds(10), [&]() {
+    in_start.Take(10);
+    in_message.Take(10);
+    not_reading.Push(100000);
+    return !in_start.Open() && !in_message.Open() && !not_reading.Open();
+  }));
+  CHECK(absl::StrContains(idle.Query("READ k"), "READY I"));
+  CHECK(absl::StrContains(in_transaction.Query("COMMIT"), "READY I"));
+}
+
 TEST_CASE_FIXTURE(EndToEndFixture, "EndToEnd_StopRequested_EndsGracefully") {
   Caller caller(At(0), "orders");
   CHECK(absl::StrContains(caller.Query("BEGIN"), "READY T"));
--- a/Tests/platform/misbehaving/limited_instance.cc
+++ b/Tests/platform/misbehaving/limited_instance.cc
@@ -3,6 +3,7 @@
 #include "Tests/platform/misbehaving/limited_instance.h"
 
 #include <stdlib.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <filesystem>
@@ -96,6 +97,22 @@
           m_most_descriptors.load(), " descriptors");
 }
 
+void LimitedInstance::StartWithDescriptors(size_t descriptors) {
+  // The process inherits the limit of this one.
+  rlimit own = {};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &own) == 0);
+  const rlimit lowered = {descriptors, own.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+  m_process->Start();
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &own) == 0);
+  m_observer = std::thread([this]() { ObserveDescriptors(); });
+  REQUIRE(Serves());
+}
+
+size_t LimitedInstance::LogBytes() const {
+  return std::filesystem::file_size(absl::StrCat(m_directory, "/i0.log"));
+}
+
 void LimitedInstance::ObserveDescriptors() {
   const pid_t process = m_process->Process();
   while (!m_ending) {
--- a/Tests/platform/misbehaving/limited_instance.h
+++ b/Tests/platform/misbehaving/limited_instance.h
@@ -29,6 +29,9 @@
 
   // Starts the process and waits until it serves.
   void Start();
+  // As Start(), but the system lets the process open only so many descriptors.
+  void StartWithDescriptors(size_t descriptors);
+  size_t LogBytes() const;
   FakeStore& Store() { return *m_store; }
   uint16_t Port() const { return m_process->CallerPort(); }
   Crowd Connect(size_t callers) const;
--- a/Tests/platform/misbehaving/misbehaving_test.cc
+++ b/Tests/platform/misbehaving/misbehaving_test.cc
@@ -31,6 +31,9 @@
 // Part of a long message that callers send who do not finish it.
 constexpr size_t kUnfinishedBytes = 900000;
 constexpr size_t kPieceBytes = 16384;
+// Less than the process and the callers that it admits by limits.maxFds need.
+constexpr size_t kFewDescriptors = 100;
+constexpr size_t kMaxLogBytes = 100000;
 constexpr int kSlowRounds = 40;
 constexpr absl::Duration kSlowInterval = absl::Milliseconds(50);
 
@@ -200,6 +203,24 @@
   CheckHeld();
 }
 
+// Guards against an accept that fails for want of descriptors and is repeated
+// at once, for ever: each failure writes a line or counts one that it leaves
+// out.
+TEST_CASE_FIXTURE(LimitedInstance,
+                  "Misbehaving_no_descriptor_left_ManyConnections_Held") {
+  StartWithDescriptors(kFewDescriptors);
+  {
+    const Crowd crowd = Connect(kFewDescriptors);
+    for (const auto& caller : crowd) {
+      caller->Append("START orders u1\r\n");
+    }
+    SendInTurn(crowd, kPieceBytes);
+    absl::SleepFor(absl::Seconds(1));
+    CHECK(LogBytes() < kMaxLogBytes);
+  }
+  CheckHeld();
+}
+
 TEST_CASE_FIXTURE(LimitedInstance,
                   "Misbehaving_stopped_in_message_ManyUnfinished_Held") {
   Start();
