--- a/Tests/platform/misbehaving/misbehaving_test.cc
+++ b/Tests/platform/misbehaving/misbehaving_test.cc
@@ -31,6 +31,8 @@
 // Part of a long message that callers send who do not finish it.
 constexpr size_t kUnfinishedBytes = 900000;
 constexpr size_t kPieceBytes = 16384;
+// Just below 16 MB in the store's encoding.
+constexpr size_t kOversizedRowBytes = 11000000;
 // Less than the process and the callers that it admits by limits.maxFds need.
 constexpr size_t kFewDescriptors = 100;
 constexpr size_t kMaxLogBytes = 100000;
@@ -308,8 +310,7 @@
 TEST_CASE_FIXTURE(LimitedInstance,
                   "Misbehaving_oversized_store_row_IsReadAgain_Held") {
   Start();
-  // Just below 16 MB in the store's encoding.
-  Store().Put("servers", "oversized", std::string(11 * 1000 * 1000, 'x'));
+  Store().Put("servers", "oversized", std::string(kOversizedRowBytes, 'x'));
   absl::SleepFor(absl::Seconds(2));
   CheckHeld();
 }
