--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -468,6 +468,20 @@
   CHECK(m_driver.sent.size() == static_cast<size_t>(served));
 }
 
+// An answer to a statement that comes while another one is in progress was
+// taken for that one's, and left the connection in use by two (review/2).
+TEST_CASE_FIXTURE(SessionFixture,
+                  "CallerSession_StatementWhileOneRuns_ClosesUnanswered") {
+  Open("orders");
+  RunStatement(StatementKind::kWrite, "WRITE k v");
+  RunStatement(StatementKind::kBegin, "BEGIN");
+  CHECK(m_caller.replies.empty());
+  CHECK(m_caller.closed);
+  ReplyToOldest(ReplyCode::kComplete);
+  CHECK(m_caller.replies.size() == 1);
+  CHECK_FALSE(m_session->InTransaction());
+}
+
 // Session state is kept for the life of a session, so that it must be bounded.
 TEST_CASE_FIXTURE(SessionFixture,
                   "CallerSession_SetsManyLongValues_IsRefusedBeyondLimit") {
--- a/Tests/platform/misbehaving/slow_readers_measurement.cc
+++ b/Tests/platform/misbehaving/slow_readers_measurement.cc
@@ -100,6 +100,7 @@
     alone.push_back(MeasureP99Ms(Port()));
     std::atomic<bool> stop = false;
     std::vector<std::thread> readers;
+    readers.reserve(kSlowReaders);
     for (size_t index = 0; index < kSlowReaders; ++index) {
       readers.emplace_back([this, &stop]() { ReadSlowly(Port(), &stop); });
     }
