--- a/Tests/platform/misbehaving/slow_readers_measurement.cc
+++ b/Tests/platform/misbehaving/slow_readers_measurement.cc
@@ -77,6 +77,7 @@
 double MeasureP99Ms(uint16_t port) {
   std::vector<std::vector<absl::Duration>> latencies(kOrdinaryCallers);
   std::vector<std::thread> callers;
+  callers.reserve(kOrdinaryCallers);
   for (std::vector<absl::Duration>& own : latencies) {
     callers.emplace_back([port, &own]() { own = CallFor(port, kTurn); });
   }
