--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Source/base/hash.h"
+#include "Source/gateway/quota/member_fleet_view.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 
@@ -270,7 +271,7 @@
   }
   group->planned_limit = limit;
   group->planned_revision = view.MembersRevision();
-  std::vector<FleetMember> members = Members();
+  std::vector<FleetMember> members = FleetMembers(view);
   group->lender_plan = PlanLenders(name, members, limit, m_leadership->Self());
   const LenderPlan& plan = group->lender_plan;
   group->lends = plan.self_lends;
@@ -314,38 +315,6 @@
   m_borrowing->SetNeighbours(name, std::move(neighbours));
 }
 
-bool Gateway::MembersRead() const {
-  return m_leadership->View().AsOf() != absl::InfinitePast();
-}
-
-uint64_t Gateway::MembersRevision() const {
-  return m_leadership->View().MembersRevision();
-}
-
-std::vector<FleetMember> Gateway::Members() const {
-  std::vector<FleetMember> members;
-  for (const auto& [id, member] : m_leadership->View().Members()) {
-    members.push_back({id, member.data_centre, member.capacity});
-  }
-  return members;
-}
-
-std::string Gateway::PeerAddress(const InstanceId& id) const {
-  const auto& members = m_leadership->View().Members();
-  const auto found = members.find(id);
-  return found == members.end() ? "" : found->second.peer_address;
-}
-
-bool Gateway::HasRowOfEarlierRun() const {
-  const auto& members = m_leadership->View().Members();
-  const auto found = members.find(m_leadership->Self());
-  return found != members.end() && !m_leadership->View().OwnRowPresent();
-}
-
-bool Gateway::LeaseValid() const {
-  return m_leadership->LeaseValid();
-}
-
 TargetPool* Gateway::PoolToLend(const GroupName& group,
                                 const TargetId& target) {
   const auto found = m_groups.find(group);
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -31,7 +31,7 @@
 
 namespace heatherwick {
 
-class Gateway : public GroupAccess, public PoolObserver, public QuotaFleetView {
+class Gateway : public GroupAccess, public PoolObserver {
  public:
   Gateway(DataCentreName data_centre,
           EventLoop* loop,
@@ -157,14 +157,6 @@
   void OnPoolChanged(TargetPool* pool) override;
   void CountConnection(absl::string_view event) override;
 
-  // QuotaFleetView:
-  bool MembersRead() const override;
-  uint64_t MembersRevision() const override;
-  std::vector<FleetMember> Members() const override;
-  std::string PeerAddress(const InstanceId& id) const override;
-  bool HasRowOfEarlierRun() const override;
-  bool LeaseValid() const override;
-
  private:
   struct Group {
     std::map<TargetId, std::unique_ptr<TargetPool>> pools;
--- /dev/null
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -0,0 +1,42 @@
+// Reads the members from the newest view of the leadership rows.
+
+#include "Source/gateway/quota/member_fleet_view.h"
+
+namespace heatherwick {
+
+std::vector<FleetMember> FleetMembers(const LeadershipView& view) {
+  std::vector<FleetMember> members;
+  for (const auto& [id, member] : view.Members()) {
+    members.push_back({id, member.data_centre, member.capacity});
+  }
+  return members;
+}
+
+bool MemberFleetView::MembersRead() const {
+  return m_leadership->View().AsOf() != absl::InfinitePast();
+}
+
+uint64_t MemberFleetView::MembersRevision() const {
+  return m_leadership->View().MembersRevision();
+}
+
+std::vector<FleetMember> MemberFleetView::Members() const {
+  return FleetMembers(m_leadership->View());
+}
+
+std::string MemberFleetView::PeerAddress(const InstanceId& id) const {
+  const auto& members = m_leadership->View().Members();
+  const auto found = members.find(id);
+  return found == members.end() ? "" : found->second.peer_address;
+}
+
+bool MemberFleetView::HasRowOfEarlierRun() const {
+  const LeadershipView& view = m_leadership->View();
+  return view.Members().contains(m_leadership->Self()) && !view.OwnRowPresent();
+}
+
+bool MemberFleetView::LeaseValid() const {
+  return m_leadership->LeaseValid();
+}
+
+}  // namespace heatherwick
--- /dev/null
+++ b/Source/gateway/quota/member_fleet_view.h
@@ -0,0 +1,35 @@
+// The members that the leadership rows name, as the quotas need them.
+
+#ifndef SOURCE_GATEWAY_QUOTA_MEMBER_FLEET_VIEW_H_
+#define SOURCE_GATEWAY_QUOTA_MEMBER_FLEET_VIEW_H_
+
+#include <string>
+#include <vector>
+
+#include "Source/gateway/leadership_manager.h"
+#include "Source/gateway/quota/quota_gate.h"
+
+namespace heatherwick {
+
+// The members of `view` with what is known of their capacity.
+std::vector<FleetMember> FleetMembers(const LeadershipView& view);
+
+class MemberFleetView : public QuotaFleetView {
+ public:
+  explicit MemberFleetView(const LeadershipManager* leadership)
+      : m_leadership(leadership) {}
+
+  bool MembersRead() const override;
+  uint64_t MembersRevision() const override;
+  std::vector<FleetMember> Members() const override;
+  std::string PeerAddress(const InstanceId& id) const override;
+  bool HasRowOfEarlierRun() const override;
+  bool LeaseValid() const override;
+
+ private:
+  const LeadershipManager* const m_leadership;
+};
+
+}  // namespace heatherwick
+
+#endif  // SOURCE_GATEWAY_QUOTA_MEMBER_FLEET_VIEW_H_
