--- a/Source/gateway/quota/member_fleet_view.cc
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -36,7 +36,8 @@
 }
 
 bool MemberFleetView::LeaseValid() const {
-  return m_leadership->LeaseValid();
+  const LeadershipView& view = m_leadership->View();
+  return view.OwnRowPresent() && m_loop->Now() < view.AsOf() + m_lifetime;
 }
 
 }  // namespace heatherwick
