--- a/Source/gateway/quota/member_fleet_view.cc
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -36,8 +36,7 @@
 }
 
 bool MemberFleetView::LeaseValid() const {
-  const LeadershipView& view = m_leadership->View();
-  return view.OwnRowPresent() && m_loop->Now() < view.AsOf() + m_lifetime;
+  return m_leadership->LeaseValid();
 }
 
 }  // namespace heatherwick
--- a/Source/gateway/quota/member_fleet_view.h
+++ b/Source/gateway/quota/member_fleet_view.h
@@ -16,11 +16,8 @@
 
 class MemberFleetView : public QuotaFleetView {
  public:
-  // A view of the members may be used for `lifetime` after it was read.
-  MemberFleetView(const LeadershipManager* leadership,
-                  const EventLoop* loop,
-                  absl::Duration lifetime)
-      : m_leadership(leadership), m_loop(loop), m_lifetime(lifetime) {}
+  explicit MemberFleetView(const LeadershipManager* leadership)
+      : m_leadership(leadership) {}
 
   bool MembersRead() const override;
   uint64_t MembersRevision() const override;
@@ -31,8 +28,6 @@
 
  private:
   const LeadershipManager* const m_leadership;
-  const EventLoop* const m_loop;
-  const absl::Duration m_lifetime;
 };
 
 }  // namespace heatherwick
