--- a/Source/decision/quota_plan.cc
+++ b/Source/decision/quota_plan.cc
@@ -60,6 +60,7 @@
   }
   std::sort(preferences.begin(), preferences.end());
   std::vector<uint32_t> order;
+  order.reserve(preferences.size());
   for (const auto& [remote, hash, number] : preferences) {
     order.push_back(number);
   }
--- a/Tests/decision/quota_fleet.cc
+++ b/Tests/decision/quota_fleet.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 QuotaFleet::QuotaFleet(Options options)
-    : m_options(std::move(options)), m_random(m_options.seed) {
+    : m_options(options), m_random(m_options.seed) {
   std::vector<FleetMember> members;
   for (int i = 0; i < m_options.instances; ++i) {
     Node node;
