gateway: Log by what right a statement was sent to a primary

A statement at a primary now names lease_from and lease_age_ms in its decision line, a leader row the reading that brought it, and first_leader_claim the claim that was believed. store_version_decreased reports a table whose version is lower than the one known. lease_age_at_primary is a histogram.

--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -110,6 +110,12 @@
     const GroupLeader& leader = m_gateway->Leader(request.route.group);
     record.fields.emplace_back("epoch", absl::StrCat(leader.epoch));
     record.fields.emplace_back("term", absl::StrCat(leader.term));
+    if (m_statement_sent) {
+      record.fields.emplace_back("lease_from",
+                                 std::string(LeaseSourceName(m_lease_source)));
+      record.fields.emplace_back(
+          "lease_age_ms", absl::StrCat(absl::ToInt64Milliseconds(m_lease_age)));
+    }
   }
   if (position) {
     record.fields.emplace_back(
@@ -594,6 +600,14 @@
   }
   m_statement_sent = true;
   m_statement_sent_at = m_gateway->Loop()->Now();
+  if (m_at_primary) {
+    const LeadershipView& view = m_gateway->Leadership();
+    m_lease_source = view.Source();
+    m_lease_age = m_statement_sent_at - view.AsOf();
+    if (m_lease_source != LeaseSource::kNone) {
+      m_gateway->GetMetrics()->Observe("lease_age_at_primary", m_lease_age);
+    }
+  }
   m_connection->pool->Send(
       m_connection, std::move(command), [this, alive = m_alive](Reply reply) {
         if (*alive && m_request && m_connection != nullptr) {
--- a/Source/gateway/caller_session.h
+++ b/Source/gateway/caller_session.h
@@ -12,6 +12,7 @@
 
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
+#include "Source/gateway/leadership_view.h"
 #include "Source/gateway/quota/quota_gate.h"
 #include "Source/gateway/statement.h"
 #include "Source/gateway/target_pool.h"
@@ -202,6 +203,9 @@
   bool m_at_primary = false;
   std::optional<Position> m_required_position;
   absl::Time m_statement_sent_at;
+  // Of the lease when the statement was sent to a primary.
+  LeaseSource m_lease_source = LeaseSource::kNone;
+  absl::Duration m_lease_age;
   std::unique_ptr<Timer> m_timeout_timer;
   std::unique_ptr<Timer> m_slow_read_timer;
   std::unique_ptr<Timer> m_retry_timer;
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -353,6 +353,11 @@
               << ValueOf(polled).version;
   }
   m_table_loaded = true;
+  if (ValueOf(polled).version < m_view.Version()) {
+    LOG(WARNING) << "event=store_version_decreased known=" << m_view.Version()
+                 << " read=" << ValueOf(polled).version
+                 << " whole_table=" << ValueOf(polled).snapshot;
+  }
   ApplyRows(ValueOf(polled));
   if (!m_view.OwnRowPresent()) {
     WriteMemberRow();
@@ -439,7 +444,11 @@
             << " phase="
             << (leader.phase == LeaderPhase::kOpen ? "open" : "changing")
             << " primary=" << leader.primary << " term=" << leader.term
-            << " holder=" << leader.holder << " version=" << leader.row_version;
+            << " holder=" << leader.holder << " version=" << leader.row_version
+            << " table_version=" << m_view.Version()
+            << " lease_from=" << LeaseSourceName(m_view.Source())
+            << " lease_age_ms="
+            << absl::ToInt64Milliseconds(m_loop->Now() - m_view.AsOf());
   PrimaryChange* const change = state.change.get();
   if (change != nullptr && change->published && leader.epoch > change->epoch) {
     EndChange(group);
@@ -632,10 +641,15 @@
       group, primary, kProbeTimeout,
       [this, group, primary,
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (*alive) {
-          PublishFirstLeader(group, primary,
-                             status && status->primary ? status->term : 0);
+        if (!*alive) {
+          return;
         }
+        LOG(INFO) << "event=first_leader_claim group=" << group
+                  << " target=" << primary << " answered=" << status.has_value()
+                  << " leads=" << (status && status->primary)
+                  << " term=" << (status ? status->term : 0);
+        PublishFirstLeader(group, primary,
+                           status && status->primary ? status->term : 0);
       });
 }
 
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -33,6 +33,12 @@
 
 }  // namespace
 
+absl::string_view LeaseSourceName(LeaseSource source) {
+  static constexpr absl::string_view kNames[] = {"none", "store", "peer",
+                                                 "unanimity"};
+  return kNames[static_cast<size_t>(source)];
+}
+
 LeadershipView::LeadershipView(InstanceId self, uint64_t incarnation)
     : m_self(std::move(self)), m_incarnation(incarnation) {}
 
@@ -69,7 +75,11 @@
     m_version = std::max(m_version, changes.version);
     m_last_store_read = std::max(m_last_store_read, changes.as_of);
   }
-  m_as_of = std::max(m_as_of, changes.as_of);
+  if (changes.as_of > m_as_of) {
+    m_as_of = changes.as_of;
+    m_lease_source =
+        changes.version > 0 ? LeaseSource::kStore : LeaseSource::kPeer;
+  }
   return changed;
 }
 
@@ -296,7 +306,10 @@
 }
 
 void LeadershipView::ExtendLease(absl::Time as_of) {
-  m_as_of = std::max(m_as_of, as_of);
+  if (as_of > m_as_of) {
+    m_as_of = as_of;
+    m_lease_source = LeaseSource::kUnanimity;
+  }
 }
 
 const GroupLeader& LeadershipView::Leader(const GroupName& group) const {
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -25,6 +25,7 @@
 #include "Source/base/rejected_entries.h"
 #include "Source/base/types.h"
 #include "Source/gateway/row_store.h"
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
@@ -42,6 +43,16 @@
 
 enum class LeaderPhase { kUnknown, kOpen, kChanging };
 
+// What the current lease is based on.
+enum class LeaseSource {
+  kNone,
+  kStore,      // A reading of the store, also if other instances passed it on.
+  kPeer,       // A reading that a peer reported.
+  kUnanimity,  // No member can read the store.
+};
+
+absl::string_view LeaseSourceName(LeaseSource source);
+
 // Orders of promotions that may not have taken effect yet. The platform neither
 // shows nor takes back an order, and performs it after a delay, whatever has
 // become of the instance that sent it. Each order is therefore recorded in the
@@ -128,6 +139,7 @@
   // Time at which the view is known to have been current; the lease counts from
   // then.
   absl::Time AsOf() const { return m_as_of; }
+  LeaseSource Source() const { return m_lease_source; }
   // Time of the newest read of the store, excluding what peers reported.
   absl::Time LastStoreRead() const { return m_last_store_read; }
   // Records epochs that a member has confirmed to this instance directly.
@@ -228,6 +240,7 @@
   uint64_t m_version = 0;
   uint64_t m_leaders_version = 0;
   absl::Time m_as_of = absl::InfinitePast();
+  LeaseSource m_lease_source = LeaseSource::kNone;
   absl::Time m_last_store_read = absl::InfinitePast();
   std::map<GroupName, GroupLeader> m_leaders;
   std::map<std::string, StoredRow> m_leader_rows;  // As stored, by row key.
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -48,6 +48,20 @@
   CHECK_FALSE(m_view.LeaseValid(m_now));
 }
 
+// The logs of incident 38 did not show by what right a statement was sent.
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_LeaseExtended_NamesItsSource") {
+  CHECK(m_view.Source() == LeaseSource::kNone);
+  m_view.Apply(Rows({OwnRow(7)}), m_now);
+  CHECK(LeaseSourceName(m_view.Source()) == "store");
+  m_now += absl::Seconds(1);
+  m_view.Apply({{}, 0, false, m_now}, m_now);
+  CHECK(LeaseSourceName(m_view.Source()) == "peer");
+  m_view.ExtendLease(m_now);  // No newer than the peer's reading.
+  CHECK(LeaseSourceName(m_view.Source()) == "peer");
+  m_view.ExtendLease(m_now + absl::Seconds(1));
+  CHECK(LeaseSourceName(m_view.Source()) == "unanimity");
+}
+
 // A restarted instance must not rely on the member row of its previous run.
 TEST_CASE_FIXTURE(ViewFixture,
                   "LeadershipView_RowOfEarlierIncarnation_HasNoLease") {
