--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -20,12 +20,21 @@
 
 inline constexpr absl::Duration kStoreLatency = absl::Milliseconds(4);
 
-// The rows of one table, which all clients share.
+// The rows of one table, which all clients share. A copy of this object is what
+// the store can return to.
 class FakeTable {
  public:
+  // Rises by one whenever the store returns from an older copy.
+  uint64_t era = 0;
   uint64_t version = 1;
   std::map<std::string, StoredRow> rows;  // Includes deleted rows.
 
+  void ReturnTo(const FakeTable& copy) {
+    const uint64_t next_era = era + 1;
+    *this = copy;
+    era = next_era;
+  }
+
   Result<uint64_t> Apply(const RowTransaction& transaction) {
     for (const StoredRow& row : transaction.expected) {
       const auto found = rows.find(row.key);
@@ -148,6 +157,11 @@
   void AnswerPoll(uint64_t after,
                   absl::Time limit,
                   const std::function<void(Result<RowChanges>)>& done) {
+    if (after > m_table->version) {
+      // The store has returned from a copy that lacks the version.
+      done(Error{ErrorKind::kNotFound, "the version is unknown", ""});
+      return;
+    }
     RowChanges changes;
     changes.rows = m_table->RowsAfter(after, true);
     changes.version = m_table->version;
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,6 +29,8 @@
   bool alive = true;
   bool draining = false;
   bool listed = true;
+  // The claim of its entry, if that is an older copy.
+  std::optional<bool> registered_claim;
   int64_t started_unix_ms = 1;
   int busy_statuses = 0;  // Status queries that are refused before the next.
   TargetStatus status;
@@ -104,7 +107,8 @@
           target.address = id;
           target.started_unix_ms = database.started_unix_ms;
           target.draining = database.draining;
-          target.claims_primary = database.status.primary;
+          target.claims_primary =
+              database.registered_claim.value_or(database.status.primary);
           targets.push_back(target);
         }
       }
@@ -223,6 +227,28 @@
     }
   }
 
+  void RestartAll() {
+    std::vector<std::string> names;
+    for (const auto& [name, instance] : m_instances) {
+      names.push_back(name);
+    }
+    for (const std::string& name : names) {
+      AddInstance(name);
+    }
+  }
+
+  // The store does not answer for `away` and then returns from `copy`.
+  void ReturnStore(const FakeTable& copy, absl::Duration away) {
+    for (const auto& [name, instance] : m_instances) {
+      instance->store.SetDown(true);
+    }
+    RunFor(away);
+    m_table.ReturnTo(copy);
+    for (const auto& [name, instance] : m_instances) {
+      instance->store.SetDown(false);
+    }
+  }
+
   Instance* Find(const std::string& name) {
     const auto found = m_instances.find(name);
     return found == m_instances.end() ? nullptr : found->second.get();
