gateway: Name the era of the store in versions and transactions

The store may return from an older copy and give out versions again. A version is qualified by the store's era; nothing sets one yet, so that all are of era 0 and plain numbers as before.

--- a/Source/gateway/row_store.h
+++ b/Source/gateway/row_store.h
@@ -18,7 +18,8 @@
 struct StoredRow {
   std::string key;
   std::string value;
-  // In a condition, 0 means that the row must not exist.
+  // Qualified by the era (see store_version.h), like all versions here. In a
+  // condition, 0 means that the row must not exist.
   uint64_t version = 0;
   bool deleted = false;
 };
@@ -29,6 +30,7 @@
   std::vector<StoredRow> expected;  // Conditions; only key and version count.
   std::vector<StoredRow> writes;    // Only key and value count.
   std::vector<std::string> deletes;
+  uint64_t era = 0;  // In which the transaction was prepared.
 };
 
 struct RowChanges {
@@ -40,6 +42,9 @@
   // A time, by the reader's clock, that is not later than the read of the
   // store. The read includes every change made before this time.
   absl::Time as_of = absl::InfinitePast();
+  // Rows that were written in earlier eras, each with a version of its own era.
+  // Only EraScopedRowStore sets them.
+  std::vector<StoredRow> earlier_rows;
 };
 
 class RowStore {
@@ -54,17 +59,19 @@
                          std::function<void(Result<RowChanges>)> done) = 0;
   // Returns the changes after `version` as soon as there is one, or an empty
   // list after `wait`. Fails with kNotFound if the history no longer reaches
-  // back to `version`; the whole table must then be read.
+  // back to `version`, or if `version` is of an earlier era; the whole table
+  // must then be read.
   virtual void PollChanges(const std::string& table,
                            uint64_t version,
                            absl::Duration wait,
                            absl::Duration timeout,
                            std::function<void(Result<RowChanges>)> done) = 0;
   // Returns the version that the store gave the transaction; a later
-  // transaction gets a higher one. On kConflict nothing was written. On
-  // kUnavailable the transaction may have been applied, or may still be applied
-  // later if its conditions hold by then. On kOverloaded nothing was written
-  // and the call can be retried later.
+  // transaction gets a higher one. On kConflict nothing was written, or the
+  // store is in another era than the transaction. On kUnavailable the
+  // transaction may have been applied, or may still be applied later if its
+  // conditions hold by then, also in a later era. On kOverloaded nothing was
+  // written and the call can be retried later.
   virtual void Commit(const RowTransaction& transaction,
                       absl::Duration timeout,
                       std::function<void(Result<uint64_t>)> done) = 0;
