gateway: Move the proposal of first leaders out of the leadership manager

The interface to the groups and the limits of orders move to headers of their own, as both files need them. gateway_test and promotion_order_test pass.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Source/base/hash.h"
+#include "Source/gateway/promotion_limits.h"
 #include "Source/gateway/replica_tracker.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -26,7 +27,6 @@
 // answers in time.
 constexpr absl::Duration kPollAnswerTimeout = absl::Milliseconds(400);
 constexpr absl::Duration kPollRetryDelay = absl::Milliseconds(100);
-constexpr absl::Duration kStoreCallTimeout = absl::Milliseconds(700);
 // A confirmation that the holder does not acknowledge within this time is
 // written to the store instead.
 constexpr absl::Duration kConfirmTimeout = absl::Milliseconds(300);
@@ -48,7 +48,6 @@
 // A primary that this instance has never seen listed counts as gone after this.
 // The list of a starting fleet is complete only after seconds.
 constexpr absl::Duration kUnlistedPrimaryTimeout = absl::Seconds(3);
-constexpr absl::Duration kProbeTimeout = absl::Milliseconds(300);
 // Keeps two instances from starting the same change at once.
 constexpr absl::Duration kStaggerStep = absl::Milliseconds(250);
 // Added to kLeaderLease because the store rounds its clock.
@@ -70,17 +69,6 @@
 // A planned change that found no safe candidate is tried again after this. The
 // old primary serves until then.
 constexpr absl::Duration kPlannedRetryDelay = absl::Seconds(4);
-constexpr absl::Duration kPromoteCallTimeout = absl::Milliseconds(800);
-// A promotion takes about a second. If it takes longer than this, the order is
-// considered lost. Only the choice of another target depends on this; see
-// PendingOrders.
-constexpr absl::Duration kPromotionTimeout = absl::Milliseconds(3000);
-// How long an order may take effect after it was sent, and after its record in
-// the leader row was first read. Shorter than kTakeoverAfter, so that a holder
-// that waits for orders to end is not taken over.
-const absl::Duration kOrderLifetime = kPromoteCallTimeout + kPromotionTimeout;
-const absl::Duration kRecordedOrderLifetime =
-    kStoreCallTimeout + kOrderLifetime;
 constexpr absl::Duration kStopTimeout = absl::Milliseconds(500);
 // A member row shows that its instance knows every member whose row was in the
 // table before it. A row needs to be newer than this many others, or all of
@@ -153,8 +141,8 @@
   bool primary_unresponsive = false;
   // The primary answers that it is not the primary.
   bool primary_demoted = false;
-  // When the need for a first leader or a change was noticed. This instance
-  // acts once its Stagger() has passed since then.
+  // When the need for a change was noticed. This instance acts once its
+  // Stagger() has passed since then.
   absl::Time stagger_start = absl::InfiniteFuture();
   absl::Time vote_cast_at = absl::InfinitePast();
   uint64_t vote_round = 0;
@@ -193,8 +181,13 @@
                     loop,
                     peers,
                     &m_view,
-                    [this](const RowChanges& changes) { ApplyRows(changes); }) {
-}
+                    [this](const RowChanges& changes) { ApplyRows(changes); }),
+      m_first_leader(m_settings.self,
+                     m_settings.incarnation,
+                     loop,
+                     store,
+                     groups,
+                     kTable) {}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
@@ -564,7 +557,7 @@
   }
   switch (leader.phase) {
     case LeaderPhase::kUnknown:
-      ProposeFirstLeader(group);
+      m_first_leader.Propose(group, Stagger(group));
       break;
     case LeaderPhase::kOpen:
       CheckOpenLeader(group, leader);
@@ -619,59 +612,6 @@
   return static_cast<int64_t>(rank) * kStaggerStep;
 }
 
-void LeadershipManager::ProposeFirstLeader(const GroupName& group) {
-  GroupState& state = StateOf(group);
-  const absl::Time now = m_loop->Now();
-  std::vector<TargetId> claiming_targets;
-  for (const ListedTarget& target : m_groups->Targets(group)) {
-    if (target.claims_primary) {
-      claiming_targets.push_back(target.id);
-    }
-  }
-  if (claiming_targets.size() != 1) {
-    return;
-  }
-  state.stagger_start = std::min(state.stagger_start, now);
-  if (now < state.stagger_start + Stagger(group)) {
-    return;
-  }
-  state.stagger_start = now;  // A retry waits for the stagger again.
-  const TargetId primary = claiming_targets.front();
-  m_groups->QueryStatus(
-      group, primary, kProbeTimeout,
-      [this, group, primary,
-       alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
-          return;
-        }
-        LOG(INFO) << "event=first_leader_claim group=" << group
-                  << " target=" << primary << " answered=" << status.has_value()
-                  << " leads=" << (status && status->primary)
-                  << " term=" << (status ? status->term : 0);
-        PublishFirstLeader(group, primary,
-                           status && status->primary ? status->term : 0);
-      });
-}
-
-void LeadershipManager::PublishFirstLeader(const GroupName& group,
-                                           const TargetId& primary,
-                                           uint64_t term) {
-  GroupLeader first;
-  first.epoch = 1;
-  first.phase = LeaderPhase::kOpen;
-  first.primary = primary;
-  first.term = term;
-  first.holder = m_settings.self;
-  first.holder_incarnation = m_settings.incarnation;
-  const std::string key = LeadershipView::LeaderKey(group);
-  RowTransaction transaction{kTable, {{key, "", 0, false}}, {}, {}};
-  transaction.writes = {{key, LeadershipView::EncodeLeader(first), 0, false}};
-  LOG(INFO) << "event=first_leader group=" << group
-            << " primary=" << first.primary;
-  m_store->Commit(transaction, kStoreCallTimeout,
-                  [](const Result<uint64_t>&) {});
-}
-
 void LeadershipManager::ReportUnresponsivePrimary(const GroupName& group) {
   StateOf(group).primary_unresponsive = true;
 }
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -17,6 +17,8 @@
 #include "Source/decision/promotion_choice.h"
 #include "Source/gateway/configuration.h"
 #include "Source/gateway/event_loop.h"
+#include "Source/gateway/first_leader.h"
+#include "Source/gateway/group_access.h"
 #include "Source/gateway/leadership_view.h"
 #include "Source/gateway/peer_leases.h"
 #include "Source/gateway/row_store.h"
@@ -25,37 +27,6 @@
 
 namespace heatherwick {
 
-// The manager's access to the groups and their targets.
-class GroupAccess {
- public:
-  virtual ~GroupAccess() = default;
-
-  virtual std::vector<GroupName> Groups() const = 0;
-  virtual std::vector<ListedTarget> Targets(const GroupName& group) const = 0;
-  // Time of the target's last answer, or the infinite past if it never
-  // answered.
-  virtual absl::Time LastContact(const GroupName& group,
-                                 const TargetId& target) const = 0;
-  virtual void QueryStatus(
-      const GroupName& group,
-      const TargetId& target,
-      absl::Duration timeout,
-      std::function<void(std::optional<TargetStatus>)> done) = 0;
-  // Number of replicas that receive a commit before it is acknowledged.
-  virtual uint32_t SyncReplicas(const GroupName& group) const = 0;
-  // The least known position that includes every commit which the group's
-  // primary acknowledged before `time`; nullopt if none is known.
-  virtual std::optional<Position> PositionCovering(const GroupName& group,
-                                                   absl::Time time) const = 0;
-  // Ends all use of the group's primary and calls `done` once this instance has
-  // nothing in flight there. In a planned change, open transactions get some
-  // time to finish.
-  virtual void Quiesce(const GroupName& group,
-                       bool planned,
-                       std::function<void()> done) = 0;
-  virtual void OnLeaderChanged(const GroupName& group) = 0;
-};
-
 struct LeadershipSettings {
   InstanceId self;
   uint64_t incarnation = 0;  // Differs between two runs of the same instance.
@@ -128,10 +99,6 @@
   void CheckGroup(const GroupName& group);
   void CheckOpenLeader(const GroupName& group, const GroupLeader& leader);
   void CheckStuckChange(const GroupName& group, const GroupLeader& leader);
-  void ProposeFirstLeader(const GroupName& group);
-  void PublishFirstLeader(const GroupName& group,
-                          const TargetId& primary,
-                          uint64_t term);
   // The members that vote on the group's primary, in the order in which they
   // start a change.
   const std::vector<InstanceId>& Voters(const GroupName& group);
@@ -248,6 +215,7 @@
   PeerTransport* const m_peers;  // May be null.
   LeadershipView m_view;
   PeerLeases m_peer_leases;
+  FirstLeader m_first_leader;
   std::map<GroupName, std::unique_ptr<GroupState>> m_states;
   std::map<GroupName, uint64_t> m_confirmed_epochs;
   std::unique_ptr<Timer> m_poll_timer;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "Source/base/enum_table.h"
 #include "Source/base/json_reader.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -18,6 +19,12 @@
 
 using nlohmann::json;
 
+constexpr EnumName<LeaseSource> kLeaseSourceNames[] = {
+    {LeaseSource::kNone, "none"},
+    {LeaseSource::kStore, "store"},
+    {LeaseSource::kPeer, "peer"},
+    {LeaseSource::kUnanimity, "unanimity"},
+};
 constexpr char kMemberPrefix[] = "member/";
 constexpr char kLeaderPrefix[] = "leader/";
 constexpr char kConfirmationPrefix[] = "confirmed/";
@@ -34,9 +41,7 @@
 }  // namespace
 
 absl::string_view LeaseSourceName(LeaseSource source) {
-  static constexpr absl::string_view kNames[] = {"none", "store", "peer",
-                                                 "unanimity"};
-  return kNames[static_cast<size_t>(source)];
+  return NameOf(kLeaseSourceNames, source);
 }
 
 LeadershipView::LeadershipView(InstanceId self, uint64_t incarnation)
--- a/Source/gateway/row_store.h
+++ b/Source/gateway/row_store.h
@@ -44,7 +44,7 @@
   absl::Time as_of = absl::InfinitePast();
   // Rows that were written in earlier eras, each with a version of its own era.
   // Only EraScopedRowStore sets them.
-  std::vector<StoredRow> earlier_rows;
+  std::vector<StoredRow> earlier_rows = {};
 };
 
 class RowStore {
