gateway: Choose a first leader from the answers of all targets

Cause: a group without a leader row was taken for a new one, and the only registered claim to lead was published, even if the target did not answer. If the store has lost the row, the group has a history: the claim can be that of a replaced target, or of an older copy of its entry.

All listed targets are now asked. The one that leads is published at once only if all have answered and none shows a history (a term above 1, two claims, an entry that its target contradicts). A first start takes no longer than before, as the targets are asked at the same time.

The scripted driver of the session tests let every target state that it leads; it now lets only the registered primary do so.

--- a/Source/gateway/first_leader.cc
+++ b/Source/gateway/first_leader.cc
@@ -1,29 +1,56 @@
-// Asks the target that claims to lead, and publishes it as the first primary.
+// Asks all targets of a group, and publishes the one that leads.
 
 #include "Source/gateway/first_leader.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
-#include <vector>
 
-#include "Source/gateway/leadership_view.h"
 #include "Source/gateway/promotion_limits.h"
+#include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 
 namespace heatherwick {
+namespace {
+
+// Between two attempts of the instance that acts first.
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(300);
+// The first answer that the store gave in its present era may be read late.
+constexpr absl::Duration kOrdersMargin = absl::Milliseconds(100);
+
+std::string Describe(const std::vector<TargetClaim>& claims) {
+  std::string text;
+  for (const TargetClaim& claim : claims) {
+    absl::StrAppend(&text, text.empty() ? "" : ",", claim.id, "/",
+                    claim.registered_as_primary ? "primary" : "replica", "/");
+    if (claim.answer) {
+      absl::StrAppend(&text, claim.answer->leads ? "leads" : "follows", "/",
+                      claim.answer->term);
+    } else {
+      absl::StrAppend(&text, "silent");
+    }
+  }
+  return text;
+}
+
+}  // namespace
 
 FirstLeader::FirstLeader(InstanceId self,
                          uint64_t incarnation,
                          EventLoop* loop,
                          RowStore* store,
                          GroupAccess* groups,
-                         std::string table)
+                         const LeadershipView* view,
+                         std::string table,
+                         StartChange start_change)
     : m_self(std::move(self)),
       m_incarnation(incarnation),
       m_loop(loop),
       m_store(store),
       m_groups(groups),
-      m_table(std::move(table)) {}
+      m_view(view),
+      m_table(std::move(table)),
+      m_start_change(std::move(start_change)) {}
 
 FirstLeader::~FirstLeader() {
   *m_alive = false;
@@ -31,51 +58,99 @@
 
 void FirstLeader::Propose(const GroupName& group, absl::Duration stagger) {
   const absl::Time now = m_loop->Now();
-  std::vector<TargetId> claiming_targets;
+  if (m_groups->Targets(group).empty()) {
+    return;
+  }
+  std::shared_ptr<GroupState>& state = m_states[group];
+  if (!state) {
+    state = std::make_shared<GroupState>();
+    state->first_proposed = now;
+    state->act_at = now + stagger;
+  }
+  if (now < state->act_at || state->asking) {
+    return;
+  }
+  state->act_at = now + std::max(stagger, kRetryDelay);
+  AskTargets(group, std::shared_ptr<GroupState>(state));
+}
+
+void FirstLeader::AskTargets(const GroupName& group,
+                             const std::shared_ptr<GroupState>& state) {
+  state->asking = true;
+  state->claims.clear();
   for (const ListedTarget& target : m_groups->Targets(group)) {
-    if (target.claims_primary) {
-      claiming_targets.push_back(target.id);
-    }
+    state->claims.push_back({target.id, target.claims_primary, std::nullopt});
+  }
+  state->unanswered = state->claims.size();
+  for (size_t index = 0; index < state->claims.size(); ++index) {
+    m_groups->QueryStatus(
+        group, state->claims[index].id, kProbeTimeout,
+        [this, group, state, index,
+         alive = m_alive](const std::optional<TargetStatus>& status) {
+          if (!*alive) {
+            return;
+          }
+          if (status) {
+            state->claims[index].answer = {status->primary, status->term};
+          }
+          if (--state->unanswered == 0) {
+            state->asking = false;
+            const auto current = m_states.find(group);
+            if (current != m_states.end() && current->second == state) {
+              Decide(group, state);
+            }
+          }
+        });
   }
-  if (claiming_targets.size() != 1) {
+}
+
+void FirstLeader::Decide(const GroupName& group,
+                         const std::shared_ptr<GroupState>& state) {
+  if (m_view->Leader(group).phase != LeaderPhase::kUnknown) {
     return;
   }
-  const auto start = m_stagger_start.try_emplace(group, now).first;
-  if (now < start->second + stagger) {
+  // The targets of a group that is new in the configuration may be listed one
+  // after the other.
+  const absl::Time orders_end =
+      std::max(m_view->TableReadAt(), state->first_proposed) +
+      kRecordedOrderLifetime + kOrdersMargin;
+  const FirstLeaderChoice choice = ChooseFirstLeader(
+      state->claims, std::nullopt, m_loop->Now() >= orders_end);
+  const std::string decision = absl::StrCat(
+      "action=", FirstLeaderActionName(choice.action),
+      " target=", choice.target, " term=", choice.term, " reason=\"",
+      choice.reason, "\" claims=", Describe(state->claims));
+  if (decision != state->logged) {
+    LOG(INFO) << "event=first_leader_choice group=" << group << " " << decision;
+    state->logged = decision;
+  }
+  if (choice.action == FirstLeaderAction::kWait) {
     return;
   }
-  start->second = now;  // A retry waits for the stagger again.
-  const TargetId primary = claiming_targets.front();
-  m_groups->QueryStatus(
-      group, primary, kProbeTimeout,
-      [this, group, primary,
-       alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
-          return;
-        }
-        LOG(INFO) << "event=first_leader_claim group=" << group
-                  << " target=" << primary << " answered=" << status.has_value()
-                  << " leads=" << (status && status->primary)
-                  << " term=" << (status ? status->term : 0);
-        Publish(group, primary, status && status->primary ? status->term : 0);
-      });
+  GroupLeader leader;
+  leader.primary =
+      choice.target.empty() ? state->claims.front().id : choice.target;
+  leader.term = choice.term;
+  if (choice.action == FirstLeaderAction::kPublish) {
+    Publish(group, leader);
+  } else {
+    m_start_change(group, leader);
+  }
 }
 
-void FirstLeader::Publish(const GroupName& group,
-                          const TargetId& primary,
-                          uint64_t term) {
-  GroupLeader first;
-  first.epoch = 1;
+void FirstLeader::Publish(const GroupName& group, const GroupLeader& leader) {
+  GroupLeader first = leader;
+  ++first.epoch;
   first.phase = LeaderPhase::kOpen;
-  first.primary = primary;
-  first.term = term;
   first.holder = m_self;
   first.holder_incarnation = m_incarnation;
+  first.planned = false;
   const std::string key = LeadershipView::LeaderKey(group);
   RowTransaction transaction{m_table, {{key, "", 0, false}}, {}, {}};
   transaction.writes = {{key, LeadershipView::EncodeLeader(first), 0, false}};
   LOG(INFO) << "event=first_leader group=" << group
-            << " primary=" << first.primary;
+            << " primary=" << first.primary << " term=" << first.term
+            << " epoch=" << first.epoch;
   m_store->Commit(transaction, kStoreCallTimeout,
                   [](const Result<uint64_t>&) {});
 }
--- a/Source/gateway/first_leader.h
+++ b/Source/gateway/first_leader.h
@@ -1,16 +1,20 @@
-// Proposes the first primary of a group that has no leader row.
+// Creates the leader row of a group that has none. See first_leader_choice.h.
 
 #ifndef SOURCE_GATEWAY_FIRST_LEADER_H_
 #define SOURCE_GATEWAY_FIRST_LEADER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "Source/base/types.h"
+#include "Source/decision/first_leader_choice.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/group_access.h"
+#include "Source/gateway/leadership_view.h"
 #include "Source/gateway/row_store.h"
 #include "absl/time/time.h"
 
@@ -18,30 +22,50 @@
 
 class FirstLeader {
  public:
+  // Starts a change of the group's primary. `claim` takes the place of the
+  // missing leader row.
+  using StartChange =
+      std::function<void(const GroupName& group, const GroupLeader& claim)>;
+
   // Leader rows are written to `table`.
   FirstLeader(InstanceId self,
               uint64_t incarnation,
               EventLoop* loop,
               RowStore* store,
               GroupAccess* groups,
-              std::string table);
+              const LeadershipView* view,
+              std::string table,
+              StartChange start_change);
   ~FirstLeader();
 
   // Must be called periodically while the group has no leader row. The instance
-  // acts once `stagger` has passed since it first found a primary to propose.
+  // acts once `stagger` has passed, so that another one can act before it.
   void Propose(const GroupName& group, absl::Duration stagger);
 
  private:
-  void Publish(const GroupName& group, const TargetId& primary, uint64_t term);
+  struct GroupState {
+    absl::Time first_proposed;
+    absl::Time act_at;
+    bool asking = false;
+    std::vector<TargetClaim> claims;
+    size_t unanswered = 0;
+    std::string logged;  // The last decision that was logged.
+  };
+
+  void AskTargets(const GroupName& group,
+                  const std::shared_ptr<GroupState>& state);
+  void Decide(const GroupName& group, const std::shared_ptr<GroupState>& state);
+  void Publish(const GroupName& group, const GroupLeader& leader);
 
   const InstanceId m_self;
   const uint64_t m_incarnation;
   EventLoop* const m_loop;
   RowStore* const m_store;
   GroupAccess* const m_groups;
+  const LeadershipView* const m_view;
   const std::string m_table;
-  // When this instance's stagger began, by group.
-  std::map<GroupName, absl::Time> m_stagger_start;
+  const StartChange m_start_change;
+  std::map<GroupName, std::shared_ptr<GroupState>> m_states;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -182,12 +182,19 @@
                     peers,
                     &m_view,
                     [this](const RowChanges& changes) { ApplyRows(changes); }),
-      m_first_leader(m_settings.self,
-                     m_settings.incarnation,
-                     loop,
-                     store,
-                     groups,
-                     kTable) {}
+      m_first_leader(
+          m_settings.self,
+          m_settings.incarnation,
+          loop,
+          store,
+          groups,
+          &m_view,
+          kTable,
+          [this](const GroupName& group, const GroupLeader& claim) {
+            // Nobody knows which targets were ordered before.
+            StartChangeFrom(group, claim, {"", 1}, absl::InfinitePast(), false,
+                            "no_leader_known");
+          }) {}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
@@ -904,11 +911,21 @@
 void LeadershipManager::StartChange(const GroupName& group,
                                     bool planned,
                                     const char* reason) {
+  const GroupLeader& leader = m_view.Leader(group);
+  StartChangeFrom(group, leader, leader.orders,
+                  leader.orders_seen + kRecordedOrderLifetime, planned, reason);
+}
+
+void LeadershipManager::StartChangeFrom(const GroupName& group,
+                                        const GroupLeader& leader,
+                                        const PendingOrders& orders,
+                                        absl::Time orders_end,
+                                        bool planned,
+                                        const char* reason) {
   if (!CanTakePromotionLock() || m_stopping) {
     return;
   }
   GroupState& state = StateOf(group);
-  const GroupLeader& leader = m_view.Leader(group);
   state.change = std::make_unique<PrimaryChange>();
   PrimaryChange& change = *state.change;
   change.attempt = ++m_attempts;
@@ -916,9 +933,10 @@
   change.old_primary = leader.primary;
   change.epoch = leader.epoch + 1;
   change.publication_sent_at = m_loop->Now();
-  change.orders = leader.orders;
-  change.orders_end = leader.orders_seen + kRecordedOrderLifetime;
+  change.orders = orders;
+  change.orders_end = orders_end;
   GroupLeader next = leader;
+  next.orders = orders;
   next.epoch = change.epoch;
   next.phase = LeaderPhase::kChanging;
   next.holder = m_settings.self;
@@ -931,7 +949,7 @@
   const std::string lock_key = LeadershipView::PromotionLockKey();
   RowTransaction transaction{
       kTable,
-      {{leader_key, "", leader.row_version, false},
+      {{leader_key, "", m_view.Leader(group).row_version, false},
        {lock_key, "", m_view.PromotionLock().row_version, false}},
       {{leader_key, LeadershipView::EncodeLeader(next), 0, false},
        {lock_key,
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -120,6 +120,13 @@
   bool HolderGone(const InstanceId& holder, uint64_t incarnation) const;
   absl::Duration Stagger(const GroupName& group);
   void StartChange(const GroupName& group, bool planned, const char* reason);
+  // Starts a change from a leader row that need not be the one in the view.
+  void StartChangeFrom(const GroupName& group,
+                       const GroupLeader& leader,
+                       const PendingOrders& orders,
+                       absl::Time orders_end,
+                       bool planned,
+                       const char* reason);
   void OnChangePublished(const GroupName& group,
                          uint64_t attempt,
                          Result<uint64_t> result);
--- a/Tests/gateway/session_fixture.h
+++ b/Tests/gateway/session_fixture.h
@@ -74,9 +74,9 @@
     return std::make_unique<Link>(this, target.id, number);
   }
 
-  std::optional<TargetStatus> ParseStatus(const Reply&) override {
+  std::optional<TargetStatus> ParseStatus(const Reply& reply) override {
     TargetStatus status;
-    status.primary = true;
+    status.primary = reply.rows == std::vector<std::string>{"primary"};
     status.term = 1;
     status.received = primary_position;
     return status;
@@ -116,6 +116,9 @@
       case StatementKind::kBeginReadOnly:
         reply.state = TransactionState::kOpen;
         break;
+      case StatementKind::kStatus:
+        reply.rows = {command.target == "db0" ? "primary" : "replica"};
+        break;
       default:
         break;
     }
