gateway: Keep what was decided in different eras of the store apart

The store may return from an older copy, give out versions again and lack rows that it had acknowledged. Running instances kept every row with a higher version, started ones saw the copy's rows, and each reading extended both leases, so that two primaries were used; fencing tokens decreased, as they are versions; a conditional write could match another row than the one that was read.

The instances' rows have keys of their own in each era: a late write of an earlier era touches no row in use. A new era, seen in any answer or through a peer, ends the lease, the changes and all use of what was read before; the instance reads the table and registers again. A leader that could be used by a lease still valid at that moment cannot have been replaced, as a promotion would have waited for that lease, so its group is opened again at once. Otherwise the rows of earlier eras are claims, and the group waits until orders in flight have ended. Relays name the era of their reading.

--- a/Source/gateway/configuration.h
+++ b/Source/gateway/configuration.h
@@ -76,6 +76,7 @@
   bool draining = false;
   bool claims_primary = false;  // The target's own view; may be outdated.
   int64_t started_unix_ms = 0;  // Distinguishes runs under one id; 0 if unset.
+  uint64_t sequence = 0;        // Of the entry, in one run; 0 if unset.
 };
 
 }  // namespace heatherwick
--- a/Source/gateway/first_leader.cc
+++ b/Source/gateway/first_leader.cc
@@ -56,9 +56,15 @@
   *m_alive = false;
 }
 
+void FirstLeader::Reset() {
+  m_states.clear();
+}
+
 void FirstLeader::Propose(const GroupName& group, absl::Duration stagger) {
   const absl::Time now = m_loop->Now();
-  if (m_groups->Targets(group).empty()) {
+  const EarlierLeader* const earlier = m_view->Earlier(group);
+  const bool proven = earlier != nullptr && earlier->proven;
+  if (!proven && m_groups->Targets(group).empty()) {
     return;
   }
   std::shared_ptr<GroupState>& state = m_states[group];
@@ -71,7 +77,11 @@
     return;
   }
   state->act_at = now + std::max(stagger, kRetryDelay);
-  AskTargets(group, std::shared_ptr<GroupState>(state));
+  if (proven) {
+    Publish(group, earlier->leader);
+  } else {
+    AskTargets(group, std::shared_ptr<GroupState>(state));
+  }
 }
 
 void FirstLeader::AskTargets(const GroupName& group,
@@ -106,16 +116,22 @@
 
 void FirstLeader::Decide(const GroupName& group,
                          const std::shared_ptr<GroupState>& state) {
-  if (m_view->Leader(group).phase != LeaderPhase::kUnknown) {
+  const EarlierLeader* const earlier = m_view->Earlier(group);
+  if (m_view->Leader(group).phase != LeaderPhase::kUnknown ||
+      (earlier != nullptr && earlier->proven)) {
     return;
   }
-  // The targets of a group that is new in the configuration may be listed one
-  // after the other.
+  std::optional<EarlierClaim> claim;
+  if (earlier != nullptr) {
+    claim = {earlier->leader.primary, earlier->leader.term};
+  }
+  // Orders were recorded before the store's present era. The targets of a group
+  // that is new in the configuration may be listed one after the other.
   const absl::Time orders_end =
-      std::max(m_view->TableReadAt(), state->first_proposed) +
+      std::max(m_view->EraReadAt(), state->first_proposed) +
       kRecordedOrderLifetime + kOrdersMargin;
-  const FirstLeaderChoice choice = ChooseFirstLeader(
-      state->claims, std::nullopt, m_loop->Now() >= orders_end);
+  const FirstLeaderChoice choice =
+      ChooseFirstLeader(state->claims, claim, m_loop->Now() >= orders_end);
   const std::string decision = absl::StrCat(
       "action=", FirstLeaderActionName(choice.action),
       " target=", choice.target, " term=", choice.term, " reason=\"",
@@ -128,9 +144,13 @@
     return;
   }
   GroupLeader leader;
+  if (earlier != nullptr) {
+    leader = earlier->leader;
+  }
   leader.primary =
       choice.target.empty() ? state->claims.front().id : choice.target;
   leader.term = choice.term;
+  leader.orders = {};
   if (choice.action == FirstLeaderAction::kPublish) {
     Publish(group, leader);
   } else {
@@ -150,7 +170,7 @@
   transaction.writes = {{key, LeadershipView::EncodeLeader(first), 0, false}};
   LOG(INFO) << "event=first_leader group=" << group
             << " primary=" << first.primary << " term=" << first.term
-            << " epoch=" << first.epoch;
+            << " epoch=" << first.epoch << " era=" << m_view->Era();
   m_store->Commit(transaction, kStoreCallTimeout,
                   [](const Result<uint64_t>&) {});
 }
--- a/Source/gateway/first_leader.h
+++ b/Source/gateway/first_leader.h
@@ -1,4 +1,6 @@
-// Creates the leader row of a group that has none. See first_leader_choice.h.
+// Creates the leader row of a group that has none: at the group's first start,
+// or after the store has returned from a copy. See first_leader_choice.h and
+// docs/design/store-returns.md.
 
 #ifndef SOURCE_GATEWAY_FIRST_LEADER_H_
 #define SOURCE_GATEWAY_FIRST_LEADER_H_
@@ -41,6 +43,8 @@
   // Must be called periodically while the group has no leader row. The instance
   // acts once `stagger` has passed, so that another one can act before it.
   void Propose(const GroupName& group, absl::Duration stagger);
+  // Forgets what was found in an earlier era of the store.
+  void Reset();
 
  private:
   struct GroupState {
@@ -65,6 +69,7 @@
   const LeadershipView* const m_view;
   const std::string m_table;
   const StartChange m_start_change;
+  // Calls in flight keep the states of an earlier era.
   std::map<GroupName, std::shared_ptr<GroupState>> m_states;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -825,7 +825,8 @@
     m_lender->EndIdleLoans(IdleTransactionTimeout() + kIdleLoanMargin);
   }
   const absl::Time now = m_loop->Now();
-  const bool lease_lost = !m_leadership->LeaseValid();
+  const bool lease_lost =
+      !m_leadership->LeaseValid() && !m_leadership->LeaseReturnsSoon();
   for (CallerSession* session : std::set(m_sessions)) {
     const TargetRequest* const request = session->WaitingRequest();
     if (request != nullptr && lease_lost &&
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -316,6 +316,7 @@
     reply->set_waited_us(absl::ToInt64Microseconds(answer.waited));
     reply->set_age_us(absl::ToInt64Microseconds(answer.age));
     reply->set_reader(answer.reader);
+    reply->set_era(answer.era);
     reply->set_failing(answer.failing);
   }
 
@@ -518,6 +519,7 @@
         answer.waited = absl::Microseconds(reply.waited_us());
         answer.age = absl::Microseconds(reply.age_us());
         answer.reader = reply.reader();
+        answer.era = reply.era();
         answer.failing = reply.failing();
         done(std::move(answer));
       });
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -10,6 +10,7 @@
 #include "Source/base/hash.h"
 #include "Source/gateway/promotion_limits.h"
 #include "Source/gateway/replica_tracker.h"
+#include "Source/gateway/store_version.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "glog/logging.h"
@@ -83,9 +84,19 @@
 // delay that doubles, and differs between members.
 constexpr absl::Duration kMemberRowRetryDelay = absl::Milliseconds(200);
 constexpr int kMaxMemberRowDoublings = 4;
+// After this time the rows of earlier eras are of no use: orders have ended,
+// and instances that are still cut off are known from memory.
+constexpr absl::Duration kEarlierRowsKept = absl::Seconds(60);
+// In which the members of a new era register. Requests wait meanwhile, as no
+// other instance could serve them.
+constexpr absl::Duration kReregistrationTime = absl::Milliseconds(1500);
 // An instance counts itself even before it has read its own member row.
 constexpr size_t kMinMembers = 1;
 
+bool IsPossibleVersion(uint64_t version) {
+  return EraOf(version) <= kMaxEra;
+}
+
 }  // namespace
 
 // A change of a group's primary that this instance carries out.
@@ -138,6 +149,8 @@
 };
 
 struct LeadershipManager::GroupState {
+  // This instance's Stagger() among the members of the era before.
+  std::optional<absl::Duration> earlier_stagger;
   bool primary_unresponsive = false;
   // The primary answers that it is not the primary.
   bool primary_demoted = false;
@@ -171,30 +184,32 @@
                                      PeerTransport* peers)
     : m_settings(std::move(settings)),
       m_loop(loop),
-      m_store(store),
+      m_store(store, [this]() { return m_view.Era(); }),
       m_promotions(promotions),
       m_groups(groups),
       m_peers(peers),
       m_view(m_settings.self, m_settings.incarnation),
-      m_peer_leases(m_settings.self,
-                    m_settings.incarnation,
-                    loop,
-                    peers,
-                    &m_view,
-                    [this](const RowChanges& changes) { ApplyRows(changes); }),
-      m_first_leader(
+      m_peer_leases(
           m_settings.self,
           m_settings.incarnation,
           loop,
-          store,
-          groups,
+          peers,
           &m_view,
-          kTable,
-          [this](const GroupName& group, const GroupLeader& claim) {
-            // Nobody knows which targets were ordered before.
-            StartChangeFrom(group, claim, {"", 1}, absl::InfinitePast(), false,
-                            "no_leader_known");
-          }) {}
+          [this](const RowChanges& changes) { ApplyRows(changes); },
+          [this](uint64_t era) { OnEra(era); }),
+      m_first_leader(m_settings.self,
+                     m_settings.incarnation,
+                     loop,
+                     &m_store,
+                     groups,
+                     &m_view,
+                     kTable,
+                     [this](const GroupName& group, const GroupLeader& claim) {
+                       // Nobody knows which targets were ordered before.
+                       StartChangeFrom(group, claim, {"", 1},
+                                       absl::InfinitePast(), false,
+                                       "no_leader_known");
+                     }) {}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
@@ -251,8 +266,8 @@
     transaction.writes.push_back(
         {key, LeadershipView::EncodePromotionLock({}), 0, false});
   }
-  m_store->Commit(transaction, kStopTimeout,
-                  [finish](const Result<uint64_t>&) { finish(); });
+  m_store.Commit(transaction, kStopTimeout,
+                 [finish](const Result<uint64_t>&) { finish(); });
 }
 
 void LeadershipManager::WriteMemberRow() {
@@ -266,11 +281,13 @@
   MemberRow row{m_settings.incarnation, m_settings.peer_address, 0, 0,
                 m_settings.data_centre, m_settings.capacity};
   uint64_t existing_version = 0;
+  const MemberRow* known = m_view.EarlierOwnRow();
   if (existing != m_view.Members().end()) {
     existing_version = existing->second.row_version;
-    if (existing->second.peer_address == m_settings.peer_address) {
-      row.joined = existing->second.joined;
-    }
+    known = &existing->second;
+  }
+  if (known != nullptr && known->peer_address == m_settings.peer_address) {
+    row.joined = known->joined;
   }
   RowTransaction transaction{
       kTable, {{key, "", existing_version, false}}, {}, {}};
@@ -279,7 +296,7 @@
                          LeadershipView::EncodeConfirmation(
                              m_settings.incarnation, m_confirmed_epochs),
                          0, false}};
-  m_store->Commit(
+  m_store.Commit(
       transaction, kStoreCallTimeout,
       [this, alive = m_alive](const Result<uint64_t>& result) {
         if (!*alive) {
@@ -323,10 +340,10 @@
     }
   };
   if (m_table_loaded) {
-    m_store->PollChanges(kTable, m_view.Version(), kLeadershipPollWait,
-                         kLeadershipPollWait + kPollAnswerTimeout, done);
+    m_store.PollChanges(kTable, m_view.Version(), kLeadershipPollWait,
+                        kLeadershipPollWait + kPollAnswerTimeout, done);
   } else {
-    m_store->ReadTable(kTable, kStoreCallTimeout, done);
+    m_store.ReadTable(kTable, kStoreCallTimeout, done);
   }
 }
 
@@ -352,12 +369,22 @@
     LOG(INFO) << "event=dependency_regained dependency=store version="
               << ValueOf(polled).version;
   }
-  m_table_loaded = true;
+  OnEra(EraOf(ValueOf(polled).version));
+  if (EraOf(ValueOf(polled).version) < m_view.Era()) {
+    // Another instance has not read the present era yet.
+    SchedulePoll(kPollRetryDelay);
+    return;
+  }
   if (ValueOf(polled).version < m_view.Version()) {
     LOG(WARNING) << "event=store_version_decreased known=" << m_view.Version()
                  << " read=" << ValueOf(polled).version
                  << " whole_table=" << ValueOf(polled).snapshot;
   }
+  m_table_loaded = m_table_loaded || ValueOf(polled).snapshot;
+  if (!m_table_loaded) {
+    SchedulePoll(absl::ZeroDuration());
+    return;
+  }
   ApplyRows(ValueOf(polled));
   if (!m_view.OwnRowPresent()) {
     WriteMemberRow();
@@ -368,9 +395,91 @@
     });
   }
   ContinueChanges();
+  if (LeaseReturnsSoon()) {
+    ProposeLeaders();
+  }
+  DeleteEarlierRows();
   SchedulePoll(absl::ZeroDuration());
 }
 
+void LeadershipManager::OnEra(uint64_t era) {
+  if (era <= m_view.Era()) {
+    return;
+  }
+  const absl::Time now = m_loop->Now();
+  const bool first = !m_table_loaded && m_view.Version() == 0;
+  const bool lease_valid = m_view.LeaseValid(now);
+  for (const auto& [group, state] : m_states) {
+    // In-flight calls of the changes find that their attempts have ended.
+    auto next = std::make_unique<GroupState>();
+    next->earlier_stagger =
+        m_view.Members().empty() ? state->earlier_stagger : Stagger(group);
+    next->replicas = std::move(state->replicas);
+    *state = std::move(*next);
+  }
+  const uint64_t previous = m_view.Era();
+  const uint64_t version = m_view.Version();
+  m_view.BeginEra(era, now);
+  m_first_leader.Reset();
+  m_promotions->DiscardUnsent();
+  m_confirmed_epochs.clear();
+  m_table_loaded = false;
+  m_member_row_timer.reset();
+  m_member_row_failures = 0;
+  m_member_row_retry_at = absl::InfinitePast();
+  m_era_begun_at = first ? absl::InfinitePast() : now;
+  m_eras_begun += first ? 0 : 1;
+  LOG(INFO) << "event=store_era era=" << era << " previous=" << previous
+            << " first=" << first << " known_version=" << VersionNumber(version)
+            << " lease_valid=" << lease_valid;
+  for (const GroupName& group : m_groups->Groups()) {
+    const EarlierLeader* const earlier = m_view.Earlier(group);
+    if (earlier != nullptr) {
+      LOG(INFO) << "event=earlier_leader group=" << group
+                << " primary=" << earlier->leader.primary
+                << " term=" << earlier->leader.term
+                << " epoch=" << earlier->leader.epoch
+                << " proven=" << earlier->proven;
+    }
+    m_groups->OnLeaderChanged(group);
+  }
+}
+
+bool LeadershipManager::LeaseReturnsSoon() const {
+  return m_loop->Now() < m_era_begun_at + kReregistrationTime;
+}
+
+void LeadershipManager::ProposeLeaders() {
+  if (!m_view.LeaseValid(m_loop->Now())) {
+    return;
+  }
+  for (const GroupName& group : m_groups->Groups()) {
+    if (m_view.Leader(group).phase == LeaderPhase::kUnknown) {
+      CheckGroup(group);
+    }
+  }
+}
+
+void LeadershipManager::DeleteEarlierRows() {
+  if (m_deleting_earlier_rows || m_stopping || m_view.EarlierRows().empty() ||
+      m_loop->Now() < m_view.EraReadAt() + kEarlierRowsKept ||
+      m_view.Members().empty() ||
+      m_view.Members().begin()->first != m_settings.self) {
+    return;
+  }
+  m_deleting_earlier_rows = true;
+  m_store.DeleteEarlierRows(
+      kTable, m_view.EarlierRows(), kStoreCallTimeout,
+      [this, alive = m_alive](const Result<uint64_t>& result) {
+        if (!*alive) {
+          return;
+        }
+        m_deleting_earlier_rows = false;
+        LOG(INFO) << "event=earlier_rows_deleted outcome="
+                  << (Ok(result) ? "done" : "failed");
+      });
+}
+
 void LeadershipManager::ApplyRows(const RowChanges& changes) {
   for (const GroupName& group : m_view.Apply(changes, m_loop->Now())) {
     OnLeaderRow(group);
@@ -378,12 +487,17 @@
 }
 
 VouchResponse LeadershipManager::Vouch(const VouchQuery& query) {
+  if (IsPossibleVersion(query.leaders_version)) {
+    OnEra(EraOf(query.leaders_version));
+  }
   if (!query.announced.empty()) {
     RowChanges announced;
     announced.rows = query.announced;
     ApplyRows(announced);
   }
-  if (!query.confirmed.empty()) {
+  // Epochs of different eras have nothing in common.
+  if (!query.confirmed.empty() &&
+      EraOf(query.leaders_version) == m_view.Era()) {
     m_view.RecordConfirmation(query.instance, query.incarnation,
                               query.confirmed);
     ContinueChanges();
@@ -444,8 +558,10 @@
             << " phase="
             << (leader.phase == LeaderPhase::kOpen ? "open" : "changing")
             << " primary=" << leader.primary << " term=" << leader.term
-            << " holder=" << leader.holder << " version=" << leader.row_version
-            << " table_version=" << m_view.Version()
+            << " holder=" << leader.holder
+            << " era=" << EraOf(leader.row_version)
+            << " version=" << VersionNumber(leader.row_version)
+            << " table_version=" << VersionNumber(m_view.Version())
             << " lease_from=" << LeaseSourceName(m_view.Source())
             << " lease_age_ms="
             << absl::ToInt64Milliseconds(m_loop->Now() - m_view.AsOf());
@@ -514,21 +630,21 @@
                          LeadershipView::EncodeConfirmation(
                              m_settings.incarnation, m_confirmed_epochs),
                          0, false}};
-  m_store->Commit(transaction, kStoreCallTimeout,
-                  [this, alive = m_alive](const Result<uint64_t>& result) {
-                    if (!*alive) {
-                      return;
-                    }
-                    m_writing_confirmation = false;
-                    if (m_write_confirmation_again || !Ok(result)) {
-                      m_write_confirmation_again = false;
-                      m_loop->Post([this, alive]() {
-                        if (*alive) {
-                          WriteConfirmation();
-                        }
-                      });
-                    }
-                  });
+  m_store.Commit(transaction, kStoreCallTimeout,
+                 [this, alive = m_alive](const Result<uint64_t>& result) {
+                   if (!*alive) {
+                     return;
+                   }
+                   m_writing_confirmation = false;
+                   if (m_write_confirmation_again || !Ok(result)) {
+                     m_write_confirmation_again = false;
+                     m_loop->Post([this, alive]() {
+                       if (*alive) {
+                         WriteConfirmation();
+                       }
+                     });
+                   }
+                 });
 }
 
 // --- Failure detection and votes -------------------------------------------
@@ -564,7 +680,8 @@
   }
   switch (leader.phase) {
     case LeaderPhase::kUnknown:
-      m_first_leader.Propose(group, Stagger(group));
+      m_first_leader.Propose(
+          group, StateOf(group).earlier_stagger.value_or(Stagger(group)));
       break;
     case LeaderPhase::kOpen:
       CheckOpenLeader(group, leader);
@@ -740,8 +857,8 @@
   transaction.writes = {{LeadershipView::VoteKey(group, m_settings.self),
                          LeadershipView::EncodeVote({epoch, round, dead}), 0,
                          false}};
-  m_store->Commit(transaction, kStoreCallTimeout,
-                  [](const Result<uint64_t>&) {});
+  m_store.Commit(transaction, kStoreCallTimeout,
+                 [](const Result<uint64_t>&) {});
 }
 
 void LeadershipManager::AnswerVoteRequests(const GroupName& group) {
@@ -960,7 +1077,7 @@
   const uint64_t attempt = change.attempt;
   change.announcement = {leader_key, LeadershipView::EncodeLeader(next), 0,
                          false};
-  m_store->Commit(
+  m_store.Commit(
       transaction, kStoreCallTimeout,
       [this, group, attempt, alive = m_alive](const Result<uint64_t>& result) {
         if (*alive) {
@@ -1451,25 +1568,24 @@
        {LeadershipView::PromotionLockKey(), "", m_token, false}},
       {record},
       {}};
-  m_store->Commit(
-      transaction, kStoreCallTimeout,
-      [this, group, attempt, record, orders = next.orders,
-       recorded_at = m_loop->Now(),
-       alive = m_alive](const Result<uint64_t>& result) mutable {
-        if (!*alive || FindChange(group, attempt) == nullptr) {
-          return;
-        }
-        if (!Ok(result)) {
-          LOG(INFO) << "event=promotion_not_recorded group=" << group
-                    << " target=" << orders.target << " cause=\""
-                    << ErrorOf(result).message << "\"";
-          RunStepAfter(group, attempt, kStatusRetryDelay,
-                       &LeadershipManager::CollectStatuses);
-          return;
-        }
-        record.version = ValueOf(result);
-        OnOrderRecorded(group, attempt, record, orders, recorded_at);
-      });
+  m_store.Commit(transaction, kStoreCallTimeout,
+                 [this, group, attempt, record, orders = next.orders,
+                  recorded_at = m_loop->Now(),
+                  alive = m_alive](const Result<uint64_t>& result) mutable {
+                   if (!*alive || FindChange(group, attempt) == nullptr) {
+                     return;
+                   }
+                   if (!Ok(result)) {
+                     LOG(INFO) << "event=promotion_not_recorded group=" << group
+                               << " target=" << orders.target << " cause=\""
+                               << ErrorOf(result).message << "\"";
+                     RunStepAfter(group, attempt, kStatusRetryDelay,
+                                  &LeadershipManager::CollectStatuses);
+                     return;
+                   }
+                   record.version = ValueOf(result);
+                   OnOrderRecorded(group, attempt, record, orders, recorded_at);
+                 });
 }
 
 void LeadershipManager::OnOrderRecorded(const GroupName& group,
@@ -1667,7 +1783,7 @@
     transaction.expected.push_back({key, "", row_version, false});
     transaction.deletes.push_back(key);
   }
-  m_store->Commit(
+  m_store.Commit(
       transaction, kStoreCallTimeout,
       [this, group, attempt, alive = m_alive](const Result<uint64_t>& result) {
         PrimaryChange* const published =
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -16,6 +16,7 @@
 #include "Source/base/types.h"
 #include "Source/decision/promotion_choice.h"
 #include "Source/gateway/configuration.h"
+#include "Source/gateway/era_scoped_row_store.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/first_leader.h"
 #include "Source/gateway/group_access.h"
@@ -58,6 +59,13 @@
   // writes which it has committed may be acknowledged.
   bool MayAcknowledge(const GroupName& group, const TargetId& primary) const;
 
+  // Called when an answer of the store, or of a peer, shows that the store is
+  // in a later era. All that was read before ends to be valid.
+  void OnEra(uint64_t era);
+  // True shortly after the lease was lost to a new era, in which the members
+  // register again.
+  bool LeaseReturnsSoon() const;
+
   // Called when the gateway got no answer from the primary.
   void ReportUnresponsivePrimary(const GroupName& group);
   // Called when the primary refused a write because it is not the primary.
@@ -76,6 +84,8 @@
   uint64_t PromotionsSent() const { return m_promotions_sent; }
   uint64_t PromotionsUnanswered() const { return m_promotions_unanswered; }
   uint64_t PromotionsSeen() const { return m_promotions_seen; }
+  // Eras of the store that began after this instance had read another one.
+  uint64_t ErasBegun() const { return m_eras_begun; }
   // How often a choice waited until earlier orders had ended.
   uint64_t PromotionsWithheld() const { return m_promotions_withheld; }
 
@@ -95,7 +105,11 @@
   // so that it must be written again. Other instances take this instance to
   // know only the members whose rows are older than its own.
   bool OwnRowNeedsRewrite() const;
+  // Deletes rows of earlier eras once nothing needs them any more.
+  void DeleteEarlierRows();
   void Tick();
+  // Proposes leaders for groups that have none.
+  void ProposeLeaders();
   void CheckGroup(const GroupName& group);
   void CheckOpenLeader(const GroupName& group, const GroupLeader& leader);
   void CheckStuckChange(const GroupName& group, const GroupLeader& leader);
@@ -216,7 +230,7 @@
 
   const LeadershipSettings m_settings;
   EventLoop* const m_loop;
-  RowStore* const m_store;
+  EraScopedRowStore m_store;
   PromotionApi* const m_promotions;
   GroupAccess* const m_groups;
   PeerTransport* const m_peers;  // May be null.
@@ -241,6 +255,9 @@
   bool m_stopping = false;
   // When Tick() last found the lease invalid.
   absl::Time m_last_without_lease = absl::InfinitePast();
+  uint64_t m_eras_begun = 0;
+  absl::Time m_era_begun_at = absl::InfinitePast();
+  bool m_deleting_earlier_rows = false;
   uint64_t m_attempts = 0;
   uint64_t m_promotions_sent = 0;
   uint64_t m_promotions_unanswered = 0;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -8,6 +8,7 @@
 
 #include "Source/base/enum_table.h"
 #include "Source/base/json_reader.h"
+#include "Source/gateway/store_version.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -50,11 +51,18 @@
 std::set<GroupName> LeadershipView::Apply(const RowChanges& changes,
                                           absl::Time now) {
   std::set<GroupName> changed;
+  if (changes.version > 0 && EraOf(changes.version) != m_era) {
+    return changed;
+  }
   std::map<InstanceId, MemberRow> members_before;
   if (changes.snapshot) {
     members_before.swap(m_members);
     ++m_members_revision;
     m_table_read_at = now;
+    if (m_era_read_at == absl::InfinitePast()) {
+      m_era_read_at = now;
+    }
+    m_earlier_rows.clear();
     m_confirmations.clear();
     m_votes.clear();
     m_promotion_lock.holder.clear();
@@ -72,6 +80,7 @@
       RemoveMember(id, member, now);
     }
   }
+  ApplyEarlierRows(changes.earlier_rows, now);
   // No lease lasts longer without a row (see kUnanimityLimit).
   std::erase_if(m_departed, [now](const auto& departed) {
     return now - departed.second.seen > kUnanimityLimit + 2 * kLeaderLease;
@@ -88,6 +97,97 @@
   return changed;
 }
 
+void LeadershipView::BeginEra(uint64_t era, absl::Time now) {
+  const bool lease_valid = LeaseValid(now);
+  for (const auto& [group, leader] : m_leaders) {
+    EarlierLeader earlier{leader};
+    if (lease_valid && leader.phase == LeaderPhase::kOpen) {
+      earlier.lease_end = m_as_of + kLeaderLease;
+    }
+    m_earlier_leaders[group] = earlier;
+  }
+  // A leader that was proven in an era of which nothing was read, too.
+  for (auto& [group, earlier] : m_earlier_leaders) {
+    earlier.proven = now < earlier.lease_end;
+  }
+  for (const auto& [id, member] : m_members) {
+    RemoveMember(id, member, now);
+  }
+  m_era = era;
+  m_era_read_at = absl::InfinitePast();
+  m_version = QualifyVersion(era, 0);
+  m_leaders_version = m_version;
+  m_as_of = absl::InfinitePast();
+  m_lease_source = LeaseSource::kNone;
+  m_last_store_read = absl::InfinitePast();
+  m_leaders.clear();
+  m_leader_rows.clear();
+  m_members.clear();
+  ++m_members_revision;
+  m_confirmations.clear();
+  m_votes.clear();
+  m_promotion_lock = {};
+  m_earlier_rows.clear();
+}
+
+const EarlierLeader* LeadershipView::Earlier(const GroupName& group) const {
+  const auto found = m_earlier_leaders.find(group);
+  return found == m_earlier_leaders.end() ? nullptr : &found->second;
+}
+
+const MemberRow* LeadershipView::EarlierOwnRow() const {
+  const auto found = m_departed.find(m_self);
+  return found == m_departed.end() ? nullptr : &found->second.row;
+}
+
+void LeadershipView::ApplyEarlierRows(const std::vector<StoredRow>& rows,
+                                      absl::Time now) {
+  std::set<InstanceId> left;
+  std::map<InstanceId, MemberRow> members;
+  for (const StoredRow& row : rows) {
+    const std::pair stored(row.key, EraOf(row.version));
+    if (row.deleted) {
+      m_earlier_rows.erase(stored);
+      continue;
+    }
+    m_earlier_rows.insert(stored);
+    absl::string_view key = row.key;
+    const Result<json> value = ParseJson(row.value);
+    if (!Ok(value)) {
+      continue;
+    }
+    JsonReader reader(ValueOf(value));
+    if (absl::ConsumePrefix(&key, kLeaderPrefix)) {
+      const Result<GroupLeader> parsed = ParseLeader(row, &reader);
+      if (!Ok(parsed) || !IsName(key)) {
+        continue;
+      }
+      EarlierLeader& earlier = m_earlier_leaders[std::string(key)];
+      if (!earlier.proven &&
+          ValueOf(parsed).row_version > earlier.leader.row_version) {
+        earlier.leader = ValueOf(parsed);
+      }
+    } else if (absl::ConsumePrefix(&key, kMemberPrefix)) {
+      const Result<MemberRow> parsed = ParseMember(row, &reader);
+      if (!Ok(parsed) || !IsName(key)) {
+        continue;
+      }
+      MemberRow& member = members[std::string(key)];
+      if (ValueOf(parsed).row_version > member.row_version) {
+        member = ValueOf(parsed);
+      }
+    } else if (absl::ConsumePrefix(&key, kConfirmationPrefix) &&
+               reader.FlagOr("left", false)) {
+      left.insert(std::string(key));
+    }
+  }
+  for (const auto& [id, member] : members) {
+    if (!left.contains(id) && !m_members.contains(id)) {
+      m_departed.try_emplace(id, DepartedMember{member, now});
+    }
+  }
+}
+
 Status LeadershipView::ApplyRow(const StoredRow& row,
                                 absl::Time now,
                                 std::set<GroupName>* changed) {
@@ -95,6 +195,9 @@
     return Error{ErrorKind::kInvalidArgument, "the row's version is too large",
                  "check the store and the instance that sent the row"};
   }
+  if (EraOf(row.version) != m_era) {
+    return std::monostate{};  // Of a peer that is in another era.
+  }
   absl::string_view key = row.key;
   const Result<json> value =
       row.deleted ? Result<json>(json::object()) : ParseJson(row.value);
@@ -129,6 +232,23 @@
   }
 }
 
+Result<MemberRow> LeadershipView::ParseMember(const StoredRow& row,
+                                              JsonReader* reader) {
+  MemberRow member;
+  member.incarnation = reader->Number("incarnation", 0, kMaxCounter);
+  member.peer_address = reader->Name("peer");
+  member.data_centre = reader->NameOr("data_centre", "");
+  member.capacity =
+      static_cast<uint32_t>(reader->NumberOr("capacity", 0, 0, kMaxCapacity));
+  member.row_version = row.version;
+  const uint64_t joined = reader->NumberOr("joined", 0, 0, kMaxCounter);
+  member.joined = joined > 0 ? joined : row.version;
+  if (!Ok(reader->Result())) {
+    return ErrorOf(reader->Result());
+  }
+  return member;
+}
+
 Status LeadershipView::ApplyMember(const InstanceId& id,
                                    const StoredRow& row,
                                    JsonReader* reader,
@@ -145,22 +265,14 @@
     ++m_members_revision;
     return std::monostate{};
   }
-  MemberRow member;
-  member.incarnation = reader->Number("incarnation", 0, kMaxCounter);
-  member.peer_address = reader->Name("peer");
-  member.data_centre = reader->NameOr("data_centre", "");
-  member.capacity =
-      static_cast<uint32_t>(reader->NumberOr("capacity", 0, 0, kMaxCapacity));
-  member.row_version = row.version;
-  const uint64_t joined = reader->NumberOr("joined", 0, 0, kMaxCounter);
-  member.joined = joined > 0 ? joined : row.version;
-  if (!Ok(reader->Result())) {
-    return reader->Result();
+  const Result<MemberRow> parsed = ParseMember(row, reader);
+  if (!Ok(parsed)) {
+    return ErrorOf(parsed);
   }
   if (!IsName(id)) {
     return InvalidKey();
   }
-  m_members[id] = std::move(member);
+  m_members[id] = ValueOf(parsed);
   m_departed.erase(id);
   ++m_members_revision;
   return std::monostate{};
@@ -205,18 +317,8 @@
   return reader->Result();
 }
 
-Status LeadershipView::ApplyLeader(const GroupName& group,
-                                   const StoredRow& row,
-                                   JsonReader* reader,
-                                   absl::Time now,
-                                   std::set<GroupName>* changed) {
-  if (!IsName(group)) {
-    return InvalidKey();
-  }
-  const GroupLeader& known = Leader(group);
-  if (row.deleted || row.version <= known.row_version) {
-    return std::monostate{};
-  }
+Result<GroupLeader> LeadershipView::ParseLeader(const StoredRow& row,
+                                                JsonReader* reader) {
   GroupLeader next;
   next.epoch = reader->Number("epoch", 0, kMaxCounter);
   next.phase =
@@ -228,9 +330,8 @@
   next.planned = reader->Flag("planned");
   // The row of a change that an earlier version wrote does not show whether a
   // promotion was ordered.
-  const bool orders_shown = reader->Has("orders");
   const uint64_t default_count =
-      next.phase == LeaderPhase::kChanging && !orders_shown ? 1 : 0;
+      next.phase == LeaderPhase::kChanging && !reader->Has("orders") ? 1 : 0;
   next.orders.count = reader->NumberOr("orders", default_count, 0, kMaxCounter);
   next.orders.target = reader->NameOr("ordered", "");
   next.orders.term_before =
@@ -242,17 +343,37 @@
   next.orders.recorded_after =
       reader->NumberOr("recorded_after", 0, 0, kMaxCounter);
   if (!Ok(reader->Result())) {
-    return reader->Result();
+    return ErrorOf(reader->Result());
   }
   next.row_version = row.version;
+  return next;
+}
+
+Status LeadershipView::ApplyLeader(const GroupName& group,
+                                   const StoredRow& row,
+                                   JsonReader* reader,
+                                   absl::Time now,
+                                   std::set<GroupName>* changed) {
+  if (!IsName(group)) {
+    return InvalidKey();
+  }
+  const GroupLeader& known = Leader(group);
+  if (row.deleted || row.version <= known.row_version) {
+    return std::monostate{};
+  }
+  const Result<GroupLeader> parsed = ParseLeader(row, reader);
+  if (!Ok(parsed)) {
+    return ErrorOf(parsed);
+  }
+  GroupLeader next = ValueOf(parsed);
   next.seen = now;
   const bool missed_epoch = next.epoch > known.epoch + 1;
   // An order of an earlier version has no record by which it is recognised. It
   // may belong to an epoch that was missed.
   const bool recognised = next.orders.recorded_after > 0 || !missed_epoch;
   const bool same_orders =
-      orders_shown && known.phase != LeaderPhase::kUnknown && recognised &&
-      known.orders.recorded_after == next.orders.recorded_after;
+      reader->Has("orders") && known.phase != LeaderPhase::kUnknown &&
+      recognised && known.orders.recorded_after == next.orders.recorded_after;
   next.orders_seen = same_orders ? known.orders_seen : now;
   if (next.phase == LeaderPhase::kChanging) {
     const bool again = known.phase == LeaderPhase::kChanging;
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Source/base/error.h"
@@ -120,6 +121,18 @@
   absl::Time seen = absl::InfinitePast();
 };
 
+// What is known of a group's leader row of an earlier era of the store.
+struct EarlierLeader {
+  GroupLeader leader;
+  // End of the lease by which this instance could use the primary when it first
+  // learned of a later era.
+  absl::Time lease_end = absl::InfinitePast();
+  // That lease was still valid when this instance learned of the present era. A
+  // promotion away from the primary would have waited for it, so that none can
+  // have been ordered.
+  bool proven = false;
+};
+
 // A member's vote on whether a group's primary is dead.
 struct Vote {
   uint64_t epoch = 0;  // Epoch of the group's leader row.
@@ -131,9 +144,27 @@
  public:
   LeadershipView(InstanceId self, uint64_t incarnation);
 
-  // Returns the groups whose leader row changed.
+  // Returns the groups whose leader row changed. Changes of another era are not
+  // applied; a later era has to be begun first.
   std::set<GroupName> Apply(const RowChanges& changes, absl::Time now);
 
+  // The era of the store to which everything here belongs, except what
+  // Earlier() returns.
+  uint64_t Era() const { return m_era; }
+  // Ends the lease and all use of what was read in the present era, which is
+  // lower than `era`.
+  void BeginEra(uint64_t era, absl::Time now);
+  // When the table was first read in the present era.
+  absl::Time EraReadAt() const { return m_era_read_at; }
+  // Null if no earlier leader of the group is known.
+  const EarlierLeader* Earlier(const GroupName& group) const;
+  // The member row of this instance's name in an earlier era, or null.
+  const MemberRow* EarlierOwnRow() const;
+  // The rows of earlier eras that are still stored, by key and era.
+  const std::set<std::pair<std::string, uint64_t>>& EarlierRows() const {
+    return m_earlier_rows;
+  }
+
   bool OwnRowPresent() const;
   bool LeaseValid(absl::Time now) const;
   // Time at which the view is known to have been current; the lease counts from
@@ -212,10 +243,15 @@
   // Records that a member's row is no longer in the table.
   void RemoveMember(const InstanceId& id, const MemberRow& row, absl::Time now);
 
+  // Rows of earlier eras are claims and no decisions.
+  void ApplyEarlierRows(const std::vector<StoredRow>& rows, absl::Time now);
+
   // Each returns an error, and changes nothing, if the row is not valid.
   Status ApplyRow(const StoredRow& row,
                   absl::Time now,
                   std::set<GroupName>* changed);
+  static Result<MemberRow> ParseMember(const StoredRow& row,
+                                       JsonReader* reader);
   Status ApplyMember(const InstanceId& id,
                      const StoredRow& row,
                      JsonReader* reader,
@@ -226,6 +262,9 @@
   Status ApplyVote(const std::string& key,
                    const StoredRow& row,
                    JsonReader* reader);
+  // Reads a leader row's value, without what depends on when it was read.
+  static Result<GroupLeader> ParseLeader(const StoredRow& row,
+                                         JsonReader* reader);
   Status ApplyLeader(const GroupName& group,
                      const StoredRow& row,
                      JsonReader* reader,
@@ -237,6 +276,10 @@
 
   const InstanceId m_self;
   const uint64_t m_incarnation;
+  uint64_t m_era = 0;
+  absl::Time m_era_read_at = absl::InfinitePast();
+  std::map<GroupName, EarlierLeader> m_earlier_leaders;
+  std::set<std::pair<std::string, uint64_t>> m_earlier_rows;
   uint64_t m_version = 0;
   uint64_t m_leaders_version = 0;
   absl::Time m_as_of = absl::InfinitePast();
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Source/base/hash.h"
+#include "Source/gateway/store_version.h"
 #include "glog/logging.h"
 
 namespace heatherwick {
@@ -33,6 +34,7 @@
 
 struct PeerLeases::Round {
   absl::Time started;
+  uint64_t era = 0;    // Of the members that are asked.
   size_t members = 0;  // Members other than this instance.
   size_t agreeing_members = 0;
 };
@@ -42,13 +44,15 @@
                        EventLoop* loop,
                        PeerTransport* transport,
                        LeadershipView* view,
-                       std::function<void(const RowChanges&)> on_rows)
+                       std::function<void(const RowChanges&)> on_rows,
+                       std::function<void(uint64_t)> on_era)
     : m_self(std::move(self)),
       m_incarnation(incarnation),
       m_loop(loop),
       m_transport(transport),
       m_view(view),
-      m_on_rows(std::move(on_rows)) {}
+      m_on_rows(std::move(on_rows)),
+      m_on_era(std::move(on_era)) {}
 
 PeerLeases::~PeerLeases() {
   *m_alive = false;
@@ -92,6 +96,7 @@
   m_last_round = now;
   auto round = std::make_shared<Round>();
   round->started = now;
+  round->era = m_view->Era();
   round->members = m_view->Members().size() - 1;
   std::vector<std::pair<uint64_t, std::string>> peers;
   for (const auto& [id, member] : m_view->Members()) {
@@ -125,6 +130,15 @@
 
 void PeerLeases::OnAnswer(const std::shared_ptr<Round>& round,
                           Result<VouchResponse> answer) {
+  if (Ok(answer)) {
+    const uint64_t era = EraOf(ValueOf(answer).leaders_version);
+    if (era > m_view->Era() && era <= kMaxEra) {
+      m_on_era(era);
+    }
+  }
+  if (round->era != m_view->Era()) {
+    return;
+  }
   bool agrees = false;
   if (!Ok(answer)) {
     agrees = ErrorOf(answer).kind == ErrorKind::kNotFound &&
--- a/Source/gateway/peer_leases.h
+++ b/Source/gateway/peer_leases.h
@@ -29,13 +29,15 @@
 
 class PeerLeases {
  public:
-  // `on_rows` applies leader rows that a peer has and the view lacks.
+  // `on_rows` applies leader rows that a peer has and the view lacks. `on_era`
+  // is told the era of a peer that has read a later one than the view's.
   PeerLeases(InstanceId self,
              uint64_t incarnation,
              EventLoop* loop,
              PeerTransport* transport,
              LeadershipView* view,
-             std::function<void(const RowChanges&)> on_rows);
+             std::function<void(const RowChanges&)> on_rows,
+             std::function<void(uint64_t)> on_era);
   ~PeerLeases();
 
   // Queries the peers if the view is old. Must be called periodically.
@@ -62,6 +64,7 @@
   PeerTransport* const m_transport;
   LeadershipView* const m_view;
   const std::function<void(const RowChanges&)> m_on_rows;
+  const std::function<void(uint64_t)> m_on_era;
   absl::Time m_last_round = absl::InfinitePast();
   std::vector<InstanceId> m_collectors;
   uint64_t m_collectors_revision = 0;
--- a/Source/gateway/peer_transport.h
+++ b/Source/gateway/peer_transport.h
@@ -77,6 +77,9 @@
   // The instance that made the read; empty if the peer runs a version that does
   // not tell.
   InstanceId reader;
+  // The era of the peer's newest reading, which can be earlier than that of the
+  // version up to which the sender of the query knows the table.
+  uint64_t era = 0;
   // The peer's latest attempt to learn of changes failed.
   bool failing = false;
   std::vector<PackedRow> packed;  // Rows that are not in `changes`.
--- a/Source/gateway/shared_row_store.cc
+++ b/Source/gateway/shared_row_store.cc
@@ -8,6 +8,7 @@
 
 #include "Source/base/json_reader.h"
 #include "Source/base/packing.h"
+#include "Source/gateway/store_version.h"
 #include "absl/strings/str_cat.h"
 #include "glog/logging.h"
 
@@ -200,7 +201,10 @@
                          changes.as_of > now || changes.version > kMaxCounter;
   // An older table must not replace what this instance knows.
   const bool regresses = changes.snapshot && changes.version < state.version;
-  if (too_old || malformed || regresses || followed.failing ||
+  // A member of an earlier version of the program names no era, and one that
+  // has not read the present era knows other rows.
+  const bool other_era = followed.era != EraOf(changes.version);
+  if (too_old || malformed || regresses || other_era || followed.failing ||
       followed.reader == m_self || (call->whole_table && !changes.snapshot)) {
     state.choice.OnCannotRead(source, now);
     OnSourceFailed(call, {ErrorKind::kUnavailable,
@@ -327,6 +331,11 @@
                                  const RowChanges& changes,
                                  const InstanceId& reader,
                                  std::map<std::string, std::string> packed) {
+  // Rows of two eras are never mixed; a later era begins with a whole table.
+  if (EraOf(changes.version) < EraOf(table->version) ||
+      (!changes.snapshot && EraOf(changes.version) != EraOf(table->version))) {
+    return;
+  }
   if (changes.snapshot) {
     table->rows.clear();
     table->packed.clear();
@@ -373,6 +382,7 @@
   answer.waited = now - arrived;
   answer.age = now - table.as_of;
   answer.reader = table.reader;
+  answer.era = EraOf(table.version);
   answer.failing = table.failing;
   return answer;
 }
@@ -396,6 +406,12 @@
                  "ask another instance"});
     return;
   }
+  if (EraOf(table.version) < EraOf(query.after)) {
+    answer(Error{ErrorKind::kNotHome,
+                 "this instance has not read the store's present era yet",
+                 "ask another instance"});
+    return;
+  }
   const bool newer = std::any_of(
       table.rows.begin(), table.rows.end(),
       [&query](const auto& row) { return row.second.version > query.after; });
--- a/Source/gateway/target_list.cc
+++ b/Source/gateway/target_list.cc
@@ -13,9 +13,24 @@
 // because of it.
 constexpr absl::Duration kOutageWindow = absl::Seconds(5);
 
+bool IsOlder(const ListedTarget& entry, const ListedTarget& known) {
+  return entry.started_unix_ms < known.started_unix_ms ||
+         (entry.started_unix_ms == known.started_unix_ms &&
+          entry.sequence < known.sequence);
+}
+
 }  // namespace
 
-void TargetList::OnEntry(const ListedTarget& target) {
+void TargetList::OnEntry(const ListedTarget& target, absl::Time now) {
+  const auto known = m_entries.find(target.id);
+  if (known != m_entries.end() && IsOlder(target, known->second.target) &&
+      now - m_store_returned <= kOutageWindow) {
+    // The copy's entry tells nothing of the target's present run.
+    if (!known->second.missing_since) {
+      known->second.missing_since = now;
+    }
+    return;
+  }
   m_entries[target.id] = {target, std::nullopt};
 }
 
@@ -44,6 +59,11 @@
   }
 }
 
+void TargetList::OnStoreReturned(absl::Time now) {
+  m_last_store_outage = now;
+  m_store_returned = now;
+}
+
 void TargetList::OnStoreUnavailable(absl::Time now) {
   m_last_store_outage = now;
 }
--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "Source/gateway/row_store.h"
+#include "Source/gateway/store_version.h"
 #include "Tests/gateway/virtual_loop.h"
 
 namespace heatherwick {
@@ -35,13 +36,14 @@
     era = next_era;
   }
 
+  // Conditions compare the plain numbers, as the store knows no other versions.
   Result<uint64_t> Apply(const RowTransaction& transaction) {
     for (const StoredRow& row : transaction.expected) {
       const auto found = rows.find(row.key);
       const uint64_t actual = found == rows.end() || found->second.deleted
                                   ? 0
                                   : found->second.version;
-      if (actual != row.version) {
+      if (actual != VersionNumber(row.version)) {
         return Error{ErrorKind::kConflict, "the row has another version", ""};
       }
     }
@@ -52,14 +54,17 @@
     for (const std::string& key : transaction.deletes) {
       rows[key] = {key, "", version, true};
     }
-    return version;
+    return QualifyVersion(era, version);
   }
 
+  uint64_t QualifiedVersion() const { return QualifyVersion(era, version); }
+
   std::vector<StoredRow> RowsAfter(uint64_t after, bool with_deleted) const {
     std::vector<StoredRow> changed;
     for (const auto& [key, row] : rows) {
       if (row.version > after && (with_deleted || !row.deleted)) {
         changed.push_back(row);
+        changed.back().version = QualifyVersion(era, row.version);
       }
     }
     return changed;
@@ -95,7 +100,7 @@
       }
       RowChanges changes;
       changes.rows = m_table->RowsAfter(0, false);
-      changes.version = m_table->version;
+      changes.version = m_table->QualifiedVersion();
       changes.snapshot = true;
       changes.as_of = m_loop->Now();
       done(changes);
@@ -130,9 +135,11 @@
       return;
     }
     Run(timeout, [this, transaction, done](bool reachable) {
-      const Result<uint64_t> result = reachable
-                                          ? m_table->Apply(transaction)
+      Result<uint64_t> result = reachable ? m_table->Apply(transaction)
                                           : Result<uint64_t>(Unreachable());
+      if (reachable && transaction.era != m_table->era) {
+        result = Error{ErrorKind::kConflict, "the store's era has changed", ""};
+      }
       if (m_commit_answer_delay > absl::ZeroDuration()) {
         m_loop->Add(m_commit_answer_delay, [done, result]() { done(result); });
       } else {
@@ -157,14 +164,15 @@
   void AnswerPoll(uint64_t after,
                   absl::Time limit,
                   const std::function<void(Result<RowChanges>)>& done) {
-    if (after > m_table->version) {
-      // The store has returned from a copy that lacks the version.
+    if (EraOf(after) != m_table->era ||
+        VersionNumber(after) > m_table->version) {
+      // The store has returned from an older copy.
       done(Error{ErrorKind::kNotFound, "the version is unknown", ""});
       return;
     }
     RowChanges changes;
-    changes.rows = m_table->RowsAfter(after, true);
-    changes.version = m_table->version;
+    changes.rows = m_table->RowsAfter(VersionNumber(after), true);
+    changes.version = m_table->QualifiedVersion();
     changes.as_of = m_loop->Now();
     if (m_down) {
       m_loop->Add(limit - m_loop->Now() + absl::Milliseconds(400),
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "Source/gateway/store_version.h"
 #include "Tests/gateway/virtual_loop.h"
 #include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
@@ -105,15 +106,17 @@
   LeadershipView m_view{"self", 7};
   ScriptedPeers m_peers;
   std::vector<StoredRow> m_rows;
-  PeerLeases m_leases{"self",
-                      7,
-                      &m_loop,
-                      &m_peers,
-                      &m_view,
-                      [this](const RowChanges& changes) {
-                        m_rows = changes.rows;
-                        m_view.Apply(changes, m_loop.Now());
-                      }};
+  PeerLeases m_leases{
+      "self",
+      7,
+      &m_loop,
+      &m_peers,
+      &m_view,
+      [this](const RowChanges& changes) {
+        m_rows = changes.rows;
+        m_view.Apply(changes, m_loop.Now());
+      },
+      [this](uint64_t era) { m_view.BeginEra(era, m_loop.Now()); }};
 };
 
 TEST_CASE_FIXTURE(PeerLeasesFixture, "PeerLeases_ViewCurrent_QueriesNoPeer") {
@@ -135,6 +138,25 @@
   CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
 }
 
+// A peer that has read a later era of the store knows that this instance's rows
+// are no longer in force.
+TEST_CASE_FIXTURE(PeerLeasesFixture, "PeerLeases_PeerIsInLaterEra_LeaseEnds") {
+  VouchResponse answer = ReadOfAge(absl::ZeroDuration());
+  answer.leaders_version = QualifyVersion(1, 0);
+  QueryPeers(answer, NoAnswer());
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+  CHECK(m_view.Era() == 1);
+}
+
+// Peers of an earlier era agree about rows that this instance does not use.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_EraBeginsDuringRound_DoesNotExtend") {
+  m_view.BeginEra(2, m_loop.Now());
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+  QueryPeers(ReadOfAge(absl::ZeroDuration()), StoreUnreachable());
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+}
+
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_PeerDoesNotKnowMember_DoesNotExtend") {
   VouchResponse answer = ReadOfAge(absl::ZeroDuration());
@@ -254,9 +276,14 @@
     Member(LargeFleetLeasesFixture* fixture, const InstanceId& name)
         : owner(fixture),
           view(name, 7),
-          leases(name, 7, &fixture->m_loop, this, &view, [this](const auto& c) {
-            view.Apply(c, owner->m_loop.Now());
-          }) {}
+          leases(
+              name,
+              7,
+              &fixture->m_loop,
+              this,
+              &view,
+              [this](const auto& c) { view.Apply(c, owner->m_loop.Now()); },
+              [](uint64_t) {}) {}
     void Vouch(const std::string& address,
                const VouchQuery& query,
                absl::Duration timeout,
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "Source/gateway/store_version.h"
 #include "Tests/gateway/fake_row_store.h"
 #include "Tests/gateway/virtual_loop.h"
 #include "absl/strings/str_cat.h"
@@ -97,6 +98,9 @@
     // Polls continuously, as a store watch does.
     void Watch() {
       auto next = [this](const Result<RowChanges>& changes) {
+        if (!Ok(changes) && ErrorOf(changes).kind == ErrorKind::kNotFound) {
+          read = false;
+        }
         if (Ok(changes)) {
           read = true;
           version = std::max(version, ValueOf(changes).version);
@@ -184,6 +188,43 @@
   std::map<std::string, std::unique_ptr<Instance>> m_instances;
 };
 
+// After the store's return from a copy, versions are given out again. Rows of
+// two eras must not be mixed, and a row that the copy lacks must go everywhere.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_StoreReturns_AllKnowTheNewEra") {
+  const FakeTable copy = m_table;
+  RowTransaction lost;
+  lost.writes = {{"lost", "x", 0, false}};
+  (void)m_table.Apply(lost);
+  m_loop.RunFor(absl::Seconds(2));
+  m_table.ReturnTo(copy);
+  RowTransaction again;
+  again.writes = {{"again", "y", 0, false}};
+  (void)m_table.Apply(again);
+  m_loop.RunFor(absl::Seconds(5));
+  for (const auto& [name, instance] : m_instances) {
+    CAPTURE(name);
+    CHECK(EraOf(instance->version) == 1);
+    CHECK(instance->rows["again"] == "y");
+  }
+}
+
+// An instance of an earlier version of the program does not name the era.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_SourceNamesNoEra_IsNotUsed") {
+  m_table.ReturnTo(FakeTable(m_table));
+  m_loop.RunFor(absl::Seconds(5));
+  alter_response = [](FollowResponse* response) { response->era = 0; };
+  RowTransaction write;
+  write.writes = {{"new", "z", 0, false}};
+  (void)m_table.Apply(write);
+  m_loop.RunFor(absl::Seconds(5));
+  for (const auto& [name, instance] : m_instances) {
+    CAPTURE(name);
+    CHECK(instance->rows["new"] == "z");  // From the store.
+  }
+}
+
 TEST_CASE_FIXTURE(SharedStoreFixture,
                   "SharedRowStore_NoFaults_OneInstanceReads") {
   const int before = Polls();
