soak: Let the store return from a copy, and check what databases ran

The soak judged only what callers were answered. The stand-in of databases now records for each read and write which commits of the present primary its log lacked, and the check compares them with what was acknowledged before the statement's first byte.

--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -29,6 +29,9 @@
 using boost::system::error_code;
 using nlohmann::json;
 
+// With a copy each 250 ms, the oldest is 8 s old.
+constexpr size_t kCopiesKept = 32;
+
 std::string Parameter(const std::string& target, const std::string& name) {
   const std::vector<std::string> parts =
       absl::StrSplit(target, absl::ByAnyChar("?&"));
@@ -112,14 +115,67 @@
                     const std::string& key,
                     const std::string& value) {
   absl::MutexLock lock(&m_mutex);
+  m_owned_rows[{table, key}] = value;
   m_tables[table][key] = {value, ++m_version, false};
 }
 
 void FakeStore::Drop(const std::string& table, const std::string& key) {
   absl::MutexLock lock(&m_mutex);
+  m_owned_rows[{table, key}] = std::nullopt;
   m_tables[table][key] = {"", ++m_version, true};
 }
 
+void FakeStore::TakeCopy() {
+  absl::MutexLock lock(&m_mutex);
+  m_copies.push_back({SteadyNow(), m_tables, m_version});
+  while (m_copies.size() > kCopiesKept) {
+    m_copies.pop_front();
+  }
+}
+
+void FakeStore::ReturnToCopy(absl::Duration age, absl::Duration rewrite_time) {
+  std::vector<std::pair<std::string, std::string>> missing;
+  {
+    absl::MutexLock lock(&m_mutex);
+    const absl::Time before = SteadyNow() - age;
+    while (m_copies.size() > 1 && m_copies.back().taken > before) {
+      m_copies.pop_back();
+    }
+    if (m_copies.empty()) {
+      return;
+    }
+    m_tables = m_copies.back().tables;
+    m_version = m_copies.back().version;
+    ++m_era;
+    for (const auto& [name, value] : m_owned_rows) {
+      const auto table = m_tables.find(name.first);
+      const Row* row = nullptr;
+      if (table != m_tables.end() && table->second.contains(name.second)) {
+        row = &table->second.at(name.second);
+      }
+      const bool present = row != nullptr && !row->deleted;
+      if (present != value.has_value() || (present && row->value != *value)) {
+        missing.push_back(name);
+      }
+    }
+  }
+  std::thread([this, missing, rewrite_time]() {
+    WriteAgain(missing, rewrite_time);
+  }).detach();
+}
+
+void FakeStore::WriteAgain(
+    const std::vector<std::pair<std::string, std::string>>& missing,
+    absl::Duration time) {
+  for (const auto& name : missing) {
+    absl::SleepFor(time / static_cast<double>(missing.size()));
+    absl::MutexLock lock(&m_mutex);
+    const std::optional<std::string>& value = m_owned_rows[name];
+    m_tables[name.first][name.second] = {value.value_or(""), ++m_version,
+                                         !value.has_value()};
+  }
+}
+
 void FakeStore::Serve(tcp::socket socket) {
   beast::flat_buffer buffer;
   while (true) {
@@ -148,6 +204,9 @@
       response.result(
           HandleRequest(std::string(request.target()), request.body(), &reply));
     }
+    if (request.target() != "/promote") {
+      response.set("Store-Era", absl::StrCat(m_era.load()));
+    }
     response.body() = reply;
     response.prepare_payload();
     const uint64_t lose_interval = m_lose_interval;
@@ -205,6 +264,9 @@
     while (SteadyNow() < end && !m_busy) {
       {
         absl::MutexLock lock(&m_mutex);
+        if (after > m_version) {
+          return 410;  // The store has returned from an older copy.
+        }
         for (const auto& [key, row] : m_tables[table]) {
           if (row.version > after) {
             *reply = FormatRows(table, after, true);
@@ -394,6 +456,27 @@
   return m_commits;
 }
 
+std::vector<FakeRun> FakeDatabaseGroup::Runs() {
+  absl::MutexLock lock(&m_mutex);
+  return m_runs;
+}
+
+void FakeDatabaseGroup::RecordRun(const Database& database,
+                                  const std::string& id,
+                                  const std::string& statement,
+                                  bool writes) {
+  FakeRun run{statement, id, writes, database.term, {}};
+  const std::vector<size_t>& newest = m_databases[m_primary].log;
+  // Logs that agree at a place agree before it.
+  size_t common = std::min(database.log.size(), newest.size());
+  while (common > 0 && database.log[common - 1] != newest[common - 1]) {
+    --common;
+  }
+  run.absent.assign(newest.begin() + static_cast<ptrdiff_t>(common),
+                    newest.end());
+  m_runs.push_back(std::move(run));
+}
+
 std::vector<FakeStatement> FakeDatabaseGroup::Statements() {
   absl::MutexLock lock(&m_mutex);
   return m_statements;
@@ -550,9 +633,11 @@
     *session = {session->workspace, false, false, false, {}, session->prepared};
     return "COMPLETE commit";
   } else if (words[0] == "READ") {
+    RecordRun(*database, id, statement, false);
     *rows = absl::StrCat("DATAROW ", database->items[words[1]], "\r\n");
     return absl::StrCat("COMPLETE read.", id);
   } else if (words[0] == "WRITE") {
+    RecordRun(*database, id, statement, true);
     if (session->open) {
       session->writes.emplace_back(words[1], words[2]);
     } else {
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
@@ -69,6 +71,14 @@
   void LoseAnswers(uint64_t interval) { m_lose_interval = interval; }
   // Answers 503 to every call.
   void SetBusy(bool busy) { m_busy = busy; }
+  // Keeps a copy of all rows, to which the store can return.
+  void TakeCopy();
+  // Returns to the newest copy that is at least `age` old, or to the oldest
+  // one. What was written since is gone, versions are given out again, and the
+  // era rises. Rows of Put() and Drop() that the copy lacks are written again
+  // one by one within `rewrite_time`.
+  void ReturnToCopy(absl::Duration age, absl::Duration rewrite_time);
+  uint64_t Era() const { return m_era; }
   // Called for POST /promote; returns the HTTP status, or 0 to close the
   // connection without a response.
   std::function<unsigned(const FakePromotionOrder&)> on_promote;
@@ -81,7 +91,21 @@
     bool deleted = false;
   };
 
+  struct Copy {
+    absl::Time taken;
+    std::map<std::string, std::map<std::string, Row>> tables;
+    uint64_t version = 0;
+  };
+  // A row of the operator or of a database, by table and key; no value if it
+  // was dropped.
+  using OwnedRows =
+      std::map<std::pair<std::string, std::string>, std::optional<std::string>>;
+
   void Serve(boost::asio::ip::tcp::socket socket);
+  // Writes the rows again, unless their owners have written them meanwhile.
+  void WriteAgain(
+      const std::vector<std::pair<std::string, std::string>>& missing,
+      absl::Duration time);
   unsigned HandleRequest(const std::string& target,
                          const std::string& body,
                          std::string* reply);
@@ -92,6 +116,9 @@
   absl::Mutex m_mutex;
   std::map<std::string, std::map<std::string, Row>> m_tables;
   uint64_t m_version = 1;
+  OwnedRows m_owned_rows;
+  std::deque<Copy> m_copies;
+  std::atomic<uint64_t> m_era = 1;
   std::atomic<bool> m_busy = false;
   std::atomic<uint64_t> m_calls = 0;
   std::atomic<uint64_t> m_lose_interval = 0;
@@ -118,6 +145,17 @@
   absl::Time received;
 };
 
+// A read or write that a database ran.
+struct FakeRun {
+  std::string id;  // Of the statement.
+  std::string database;
+  bool writes = false;
+  uint64_t term = 0;  // Of the database.
+  // Commits in the log of the present primary that the database's log lacked,
+  // by their places in Commits().
+  std::vector<size_t> absent;
+};
+
 struct FakeGroupOptions {
   absl::Duration lag;  // From a commit to its receipt by replicas.
   // From the order of a promotion to its effect, unless Promote is given a
@@ -160,6 +198,8 @@
   std::vector<FakeCommit> Commits();
   // All statements that reached the databases, in order.
   std::vector<FakeStatement> Statements();
+  // All reads and writes that the databases ran, in order.
+  std::vector<FakeRun> Runs();
 
  private:
   struct Session {
@@ -196,6 +236,10 @@
               const std::string& item,
               const std::string& value);
   void Append(Database* database, size_t commit);
+  void RecordRun(const Database& database,
+                 const std::string& id,
+                 const std::string& statement,
+                 bool writes);
   // Copies to the replica `database` the primary's commits that are older than
   // the replication lag.
   void Replicate(Database* database);
@@ -218,6 +262,7 @@
   uint64_t m_term = 1;
   std::vector<FakeCommit> m_commits;
   std::vector<FakeStatement> m_statements;
+  std::vector<FakeRun> m_runs;
 };
 
 }  // namespace heatherwick::platform
--- a/Tests/platform/soak/call_history.cc
+++ b/Tests/platform/soak/call_history.cc
@@ -89,6 +89,55 @@
   m_promotions.push_back(std::move(record));
 }
 
+void CallHistory::AddSent(StatementRecord statement) {
+  absl::MutexLock lock(&m_mutex);
+  m_sent.push_back(std::move(statement));
+}
+
+std::vector<std::string> CallHistory::CheckRuns(
+    const std::vector<FakeCommit>& commits,
+    const std::vector<FakeRun>& runs) const {
+  absl::MutexLock lock(&m_mutex);
+  std::map<WriteId, absl::Time> acknowledged;
+  for (const WriteRecord& write : m_writes) {
+    if (write.outcome == WriteOutcome::kDone) {
+      acknowledged[{write.item, write.number}] = write.reply_time;
+    }
+  }
+  std::map<std::string, const StatementRecord*> sent;
+  for (const StatementRecord& statement : m_sent) {
+    sent[statement.id] = &statement;
+  }
+  std::vector<std::string> violations;
+  for (const FakeRun& run : runs) {
+    const auto statement = sent.find(run.id);
+    if (statement == sent.end()) {
+      continue;  // Of the instances themselves.
+    }
+    const absl::Duration max_staleness =
+        run.writes ? absl::ZeroDuration() : statement->second->max_staleness;
+    for (const size_t place : run.absent) {
+      const FakeCommit& commit = commits[place];
+      const auto reply =
+          acknowledged.find({commit.item, ParseValue(commit.value)});
+      if (commit.lost || reply == acknowledged.end() ||
+          reply->second >= statement->second->first_byte - max_staleness) {
+        continue;
+      }
+      violations.push_back(absl::StrCat(
+          run.writes ? "write " : "read ", run.id, " ran at ", run.database,
+          " in term ", run.term, " on a log that lacked ", commit.value, " of ",
+          commit.item, " (", commit.term, ".", commit.number,
+          "), which was done ",
+          absl::ToInt64Milliseconds(statement->second->first_byte -
+                                    reply->second),
+          " ms before"));
+      break;
+    }
+  }
+  return violations;
+}
+
 std::vector<std::string> CallHistory::Check(
     const std::vector<FakeCommit>& commits) const {
   absl::MutexLock lock(&m_mutex);
--- a/Tests/platform/soak/call_history.h
+++ b/Tests/platform/soak/call_history.h
@@ -35,6 +35,15 @@
   absl::Time session_start = absl::InfiniteFuture();
 };
 
+// A statement that a caller sent. What a database ran is checked whether or not
+// the statement was answered.
+struct StatementRecord {
+  std::string id;
+  // When its first byte, or that of its transaction, was sent.
+  absl::Time first_byte;
+  absl::Duration max_staleness;  // Of its route; a write demands zero.
+};
+
 // A promotion, with the fencing token of the instance that ordered it.
 struct PromotionRecord {
   std::string holder;
@@ -47,9 +56,14 @@
   void AddWrite(WriteRecord record);
   void AddRead(ReadRecord record);
   void AddPromotion(PromotionRecord record);
+  void AddSent(StatementRecord statement);
 
   // Returns one line for each violated guarantee; empty when all were kept.
   std::vector<std::string> Check(const std::vector<FakeCommit>& commits) const;
+  // Checks what the databases of one group ran: each read or write ran on a log
+  // that had all commits which its route demands. `commits` are the group's.
+  std::vector<std::string> CheckRuns(const std::vector<FakeCommit>& commits,
+                                     const std::vector<FakeRun>& runs) const;
   std::string Summary(const std::vector<FakeCommit>& commits) const;
 
   // Conversions between the number of a write and the value that it stores.
@@ -62,6 +76,7 @@
   std::vector<WriteRecord> m_writes;
   std::vector<ReadRecord> m_reads;
   std::vector<PromotionRecord> m_promotions;
+  std::vector<StatementRecord> m_sent;
 };
 
 }  // namespace heatherwick::platform
--- a/Tests/platform/soak/call_history_test.cc
+++ b/Tests/platform/soak/call_history_test.cc
@@ -131,5 +131,30 @@
   CHECK(m_history.Check({}).size() == 2);
 }
 
+// In incident 38 a write ran at a replaced primary and was not acknowledged, so
+// that no answer showed it.
+TEST_CASE_FIXTURE(HistoryFixture, "CallHistory_RunOnLogWithoutCommit_IsFound") {
+  Write(1, WriteOutcome::kDone, absl::Seconds(1));
+  m_history.AddSent({"1-1", m_start + absl::Seconds(2), absl::Seconds(3)});
+  const std::vector<FakeCommit> commits = {Commit(1)};
+  const FakeRun write{"1-1", "db0", true, 3, {0}};
+  const FakeRun read{"1-1", "db0", false, 3, {0}};
+  const std::vector<std::string> found =
+      m_history.CheckRuns(commits, {write, read});
+  REQUIRE(found.size() == 1);
+  CHECK(absl::StrContains(found.front(), "write 1-1 ran at db0"));
+}
+
+TEST_CASE_FIXTURE(HistoryFixture, "CallHistory_RunOnAllowedLog_IsClean") {
+  Write(1, WriteOutcome::kDone, absl::Seconds(3));
+  Write(2, WriteOutcome::kUnknown, absl::Seconds(1));
+  Write(3, WriteOutcome::kDone, absl::Seconds(1));
+  m_history.AddSent({"1-1", m_start + absl::Seconds(2), absl::ZeroDuration()});
+  std::vector<FakeCommit> commits = {Commit(1), Commit(2), Commit(3)};
+  commits[2].lost = true;
+  CHECK(m_history.CheckRuns(commits, {{"1-1", "db0", true, 3, {0, 1, 2}}})
+            .empty());
+}
+
 }  // namespace
 }  // namespace heatherwick::platform
--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -23,6 +23,7 @@
   char* program = nullptr;
   int restart_often = 0;
   int orders_late = 0;
+  int store_returns = 0;
   const poptOption table[] = {
       {"seed", 's', POPT_ARG_INT, &options->seed, 0, "Seed of the faults.",
        "NUMBER"},
@@ -37,6 +38,8 @@
       {"orders-late", 'l', POPT_ARG_NONE, &orders_late, 0,
        "Inject faults between orders of promotions and their effects.",
        nullptr},
+      {"store-returns", 'c', POPT_ARG_NONE, &store_returns, 0,
+       "Let the store return from copies that are some seconds old.", nullptr},
       {"workspaces", 'w', POPT_ARG_INT, &options->workspaces, 0,
        "Workspaces with keys and quotas; 0 for none.", "NUMBER"},
       {"program", 'p', POPT_ARG_STRING, &program, 0,
@@ -48,6 +51,7 @@
   options->program = program == nullptr ? "" : program;
   options->restart_often = restart_often != 0;
   options->orders_late = orders_late != 0;
+  options->store_returns = store_returns != 0;
   free(program);
   if (parsed < -1) {
     std::cerr << "heatherwick-soak: " << poptStrerror(parsed) << ": "
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -52,6 +52,17 @@
 // second a caller was not served for 8 s, as others were admitted before it.
 constexpr WorkspaceQuota kQuotas[] = {{40, 20}, {15, 5}, {7.5, 4}};
 
+// With returns of the store: between two copies, and bounds of the random pause
+// between two returns, one in four of which comes within a second.
+constexpr absl::Duration kCopyInterval = absl::Milliseconds(250);
+constexpr uint32_t kMinTimeToReturnMs = 3000;
+constexpr uint32_t kMaxTimeToReturnMs = 12000;
+constexpr uint32_t kMaxTimeToNextReturnMs = 1000;
+constexpr uint32_t kMaxCopyAgeMs = 6000;
+// Longer than a lease, so that some returns find no valid one.
+constexpr uint32_t kMaxStoreAwayMs = 2500;
+constexpr uint32_t kMaxRewriteTimeMs = 2000;
+
 // Kinds of the faults of an instance.
 enum InstanceFault : uint32_t { kKill, kTerminate, kPause, kHangUp };
 
@@ -139,6 +150,7 @@
       m_random(static_cast<uint32_t>(options.seed)),
       m_planner(static_cast<uint32_t>(options.seed), options.orders_late),
       m_key_random(static_cast<uint32_t>(options.seed)),
+      m_return_random(static_cast<uint32_t>(options.seed)),
       m_workspace_history(kRevocationLimit,
                           {absl::Seconds(5), kQuotaOvershoot, kQuotaSlack}) {
   std::string pattern =
@@ -546,6 +558,30 @@
   }
 }
 
+void Soak::ReturnStore() {
+  const absl::Duration age =
+      absl::Milliseconds(m_return_random() % kMaxCopyAgeMs);
+  const absl::Duration rewrite_time =
+      absl::Milliseconds(m_return_random() % kMaxRewriteTimeMs);
+  const absl::Duration away =
+      m_return_random() % 2 == 0
+          ? absl::ZeroDuration()
+          : absl::Milliseconds(m_return_random() % kMaxStoreAwayMs);
+  PrintEvent(absl::StrCat("the store is away for ",
+                          absl::ToInt64Milliseconds(away),
+                          " ms and returns from a copy that is ",
+                          absl::ToInt64Milliseconds(age), " ms old"));
+  if (away > absl::ZeroDuration()) {
+    m_store->SetBusy(true);
+  }
+  m_scheduled_ends.push_back({SteadyNow() + away, [this, age, rewrite_time]() {
+                                m_store->ReturnToCopy(age, rewrite_time);
+                                m_store->SetBusy(false);
+                                PrintEvent(
+                                    absl::StrCat("era ", m_store->Era()));
+                              }});
+}
+
 void Soak::EndFaults(absl::Time until) {
   for (size_t index = 0; index < m_scheduled_ends.size();) {
     if (m_scheduled_ends[index].at <= until) {
@@ -627,7 +663,23 @@
                                  : absl::InfiniteFuture();
   absl::Time next_key_change =
       m_options.workspaces > 0 ? SteadyNow() : absl::InfiniteFuture();
+  absl::Time next_copy =
+      m_options.store_returns ? SteadyNow() : absl::InfiniteFuture();
+  absl::Time next_return = next_copy + absl::Milliseconds(kMinTimeToReturnMs);
   while (SteadyNow() < end) {
+    if (SteadyNow() >= next_copy) {
+      m_store->TakeCopy();
+      next_copy = SteadyNow() + kCopyInterval;
+    }
+    if (SteadyNow() >= next_return) {
+      ReturnStore();
+      const uint32_t pause =
+          m_return_random() % 4 == 0
+              ? m_return_random() % kMaxTimeToNextReturnMs
+              : kMinTimeToReturnMs + m_return_random() % (kMaxTimeToReturnMs -
+                                                          kMinTimeToReturnMs);
+      next_return = SteadyNow() + absl::Milliseconds(pause);
+    }
     if (SteadyNow() >= next_fault) {
       InjectFault();
       next_fault =
@@ -669,6 +721,12 @@
   for (std::string& violation : m_history.Check(Commits())) {
     m_violations.push_back(std::move(violation));
   }
+  for (FakeDatabaseGroup* group : m_groups) {
+    for (std::string& violation :
+         m_history.CheckRuns(group->Commits(), group->Runs())) {
+      m_violations.push_back(std::move(violation));
+    }
+  }
   PrintEvent(m_history.Summary(Commits()));
   return m_violations;
 }
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -38,6 +38,8 @@
   // Answers orders of promotions late or never, and injects faults between an
   // order and its effect.
   bool orders_late = false;
+  // The store returns from copies that are some seconds old.
+  bool store_returns = false;
   // Workspaces with two keys each, of which all but the first have a quota. 0
   // for a configuration without workspaces.
   int workspaces = 0;
@@ -86,6 +88,8 @@
                      const std::string& id,
                      absl::Time end);
   void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
+  // Lets the store return from a copy, sometimes after it was away.
+  void ReturnStore();
   // Stores a new version of the configuration.
   void PutConfiguration();
   // The list of workspaces in the configuration.
@@ -131,6 +135,8 @@
   int m_configuration_version = 1;
   // Not m_random, whose draws stay the same without workspaces.
   std::mt19937 m_key_random;
+  // Not m_random, whose draws stay the same without returns of the store.
+  std::mt19937 m_return_random;
   std::map<std::string, std::string> m_keys;  // Each key's present workspace.
   WorkspaceHistory m_workspace_history;
 };
--- a/Tests/platform/soak/soak_caller.cc
+++ b/Tests/platform/soak/soak_caller.cc
@@ -33,6 +33,18 @@
   std::string row;
 };
 
+// Of the route of a caller of this kind.
+absl::Duration MaxStaleness(CallerKind kind) {
+  switch (kind) {
+    case CallerKind::kStock:
+      return kStockMaxStaleness;
+    case CallerKind::kViews:
+      return kViewsMaxStaleness;
+    default:
+      return absl::ZeroDuration();
+  }
+}
+
 WriteOutcome OutcomeOf(const Answer& answer) {
   if (answer.complete) {
     return WriteOutcome::kDone;
@@ -50,8 +62,12 @@
   bool Open(uint16_t port,
             const std::string& database,
             const std::string& key,
+            CallHistory* history,
+            absl::Duration max_staleness,
             WorkspaceHistory* workspaces) {
     m_key = key;
+    m_history = history;
+    m_max_staleness = max_staleness;
     m_workspaces = workspaces;
     error_code error;
     m_socket.connect(
@@ -72,7 +88,9 @@
     if (text == "BEGIN" || !m_in_transaction) {
       static std::atomic<uint64_t> next = 0;
       m_operation = ++next;
+      m_first_byte = SteadyNow();
     }
+    m_history->AddSent({id, m_first_byte, m_max_staleness});
     m_in_transaction =
         text == "BEGIN" || (m_in_transaction && text != "COMMIT");
     if (m_workspaces != nullptr) {
@@ -141,8 +159,11 @@
   const uint64_t m_session_number = NextSessionNumber();
   uint64_t m_queries = 0;
   std::string m_key;
+  CallHistory* m_history = nullptr;
+  absl::Duration m_max_staleness;
   WorkspaceHistory* m_workspaces = nullptr;
   uint64_t m_operation = 0;
+  absl::Time m_first_byte;  // Of the present operation.
   bool m_in_transaction = false;
   std::string m_buffer;
   bool m_closed = false;
@@ -198,7 +219,8 @@
 bool SoakCaller::Connect() {
   m_connection = std::make_unique<Connection>();
   if (!m_connection->Open(m_ports[RandomBelow(m_ports.size())],
-                          DatabaseName(m_kind, m_group), m_key, m_workspaces)) {
+                          DatabaseName(m_kind, m_group), m_key, m_history,
+                          MaxStaleness(m_kind), m_workspaces)) {
     m_connection.reset();
     return false;
   }
@@ -241,10 +263,8 @@
                   ? m_read_items[RandomBelow(m_read_items.size())]
                   : m_item;
   read.start_time = SteadyNow();
-  if (m_kind == CallerKind::kViews) {
-    read.max_staleness = kViewsMaxStaleness;
-  } else if (m_kind == CallerKind::kStock) {
-    read.max_staleness = kStockMaxStaleness;
+  read.max_staleness = MaxStaleness(m_kind);
+  if (m_kind == CallerKind::kStock) {
     read.session_start = m_session_start;
   }
   const Answer answer = m_connection->Query(absl::StrCat("READ ", read.item));
