--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -467,6 +467,11 @@
       m_view.Members().begin()->first != m_settings.self) {
     return;
   }
+  for (const GroupName& group : m_groups->Groups()) {
+    if (m_view.Leader(group).phase == LeaderPhase::kUnknown) {
+      return;  // The rows may be all that is known of its leader.
+    }
+  }
   m_deleting_earlier_rows = true;
   m_store.DeleteEarlierRows(
       kTable, m_view.EarlierRows(), kStoreCallTimeout,
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "Source/gateway/era_scoped_row_store.h"
 #include "Tests/gateway/leadership_cluster.h"
 #include "Tests/gateway/seed_range.h"
 #include "doctest/doctest.h"
@@ -229,6 +230,27 @@
   CHECK(found);
 }
 
+// Rows of earlier eras would add up with each return.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
+  Start(3);
+  m_cluster->RunFor(absl::Seconds(2));
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->m_table.ReturnTo(copy);
+  m_cluster->RunFor(absl::Seconds(2));
+  const FakeTable second_copy = m_cluster->m_table;
+  m_cluster->m_table.ReturnTo(second_copy);
+  m_cluster->RunFor(absl::Seconds(70));
+  size_t rows = 0;
+  for (const auto& [key, row] : m_cluster->m_table.rows) {
+    const uint64_t era = EraScopedRowStore::ParseKey(key).second;
+    CHECK_MESSAGE((row.deleted || era == 2), key);
+    rows += !row.deleted && era == 2 ? 1 : 0;
+  }
+  CHECK(rows > 3);
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
 // Returns to copies of random age, restarts, cuts and deaths of primaries, in
 // random order.
 class RandomReturns : public StoreReturnFixture {
