--- a/Tests/platform/store_watch_test.cc
+++ b/Tests/platform/store_watch_test.cc
@@ -91,5 +91,61 @@
   CHECK(Listed() == std::vector<TargetId>{"a", "b"});
 }
 
+std::string ConfigurationOfVersion(int version) {
+  return absl::StrCat(
+      R"({"version":)", version,
+      R"(,"routes":[],"services":[],"tenants":[],"limits":{}})");
+}
+
+// An older copy of the configuration neither replaces the one in force nor
+// tells which keys are still in force.
+TEST_CASE_FIXTURE(StoreWatchFixture,
+                  "StoreWatch_StoreReturns_OlderConfigurationIsNotUsed") {
+  Put("config", ConfigurationOfVersion(3));
+  m_loop.RunFor(absl::Seconds(2));
+  const FakeTable copy = m_table;
+  Put("config", ConfigurationOfVersion(4));
+  m_loop.RunFor(absl::Seconds(2));
+  REQUIRE(m_gateway.ConfigurationVersion() == 4);
+  m_table.ReturnTo(copy);
+  const absl::Time returned = m_loop.Now();
+  m_loop.RunFor(absl::Seconds(3));
+  CHECK(m_gateway.ConfigurationVersion() == 4);
+  CHECK(m_gateway.ConfigurationAsOf() <= returned);
+  Put("config", ConfigurationOfVersion(4));
+  m_loop.RunFor(absl::Seconds(2));
+  CHECK(m_gateway.ConfigurationAsOf() > returned);
+  Put("config", ConfigurationOfVersion(5));
+  m_loop.RunFor(absl::Seconds(2));
+  CHECK(m_gateway.ConfigurationVersion() == 5);
+}
+
+TEST_CASE_FIXTURE(StoreWatchFixture,
+                  "StoreWatch_CopyLacksConfiguration_OneInForceStays") {
+  const FakeTable copy = m_table;
+  Put("config", ConfigurationOfVersion(4));
+  m_loop.RunFor(absl::Seconds(2));
+  m_table.ReturnTo(copy);
+  const absl::Time returned = m_loop.Now();
+  m_loop.RunFor(absl::Seconds(3));
+  CHECK(m_gateway.ConfigurationVersion() == 4);
+  CHECK(m_gateway.ConfigurationAsOf() <= returned);
+}
+
+// The copy may lack the entry of a target that lives.
+TEST_CASE_FIXTURE(
+    StoreWatchFixture,
+    "StoreWatch_CopyLacksEntry_TargetStaysUntilItIsWrittenAgain") {
+  const FakeTable copy = m_table;
+  Put("c", Entry("10.0.0.3:80"));
+  REQUIRE(Listed() == std::vector<TargetId>{"a", "b", "c"});
+  m_table.ReturnTo(copy);
+  CHECK(Listed() == std::vector<TargetId>{"a", "b", "c"});
+  Put("c", Entry("10.0.0.3:80"));
+  CHECK(Listed() == std::vector<TargetId>{"a", "b", "c"});
+  m_loop.RunFor(absl::Seconds(6));
+  CHECK(Listed() == std::vector<TargetId>{"a", "b", "c"});
+}
+
 }  // namespace
 }  // namespace heatherwick::platform
