--- a/Tests/platform/soak/call_history.cc
+++ b/Tests/platform/soak/call_history.cc
@@ -216,6 +216,22 @@
   return violations;
 }
 
+std::vector<absl::Duration> CallHistory::TimesToNextWrite(
+    absl::Time event,
+    const std::vector<std::string>& items) const {
+  absl::MutexLock lock(&m_mutex);
+  std::vector<absl::Duration> times(items.size(), absl::InfiniteDuration());
+  for (const WriteRecord& write : m_writes) {
+    const auto item = std::find(items.begin(), items.end(), write.item);
+    if (item != items.end() && write.outcome == WriteOutcome::kDone &&
+        write.reply_time > event) {
+      absl::Duration& time = times[static_cast<size_t>(item - items.begin())];
+      time = std::min(time, write.reply_time - event);
+    }
+  }
+  return times;
+}
+
 std::string CallHistory::Summary(const std::vector<FakeCommit>& commits) const {
   absl::MutexLock lock(&m_mutex);
   const std::map<WriteId, CommittedWrite> committed_writes =
--- a/Tests/platform/soak/call_history.h
+++ b/Tests/platform/soak/call_history.h
@@ -65,6 +65,11 @@
   std::vector<std::string> CheckRuns(const std::vector<FakeCommit>& commits,
                                      const std::vector<FakeRun>& runs) const;
   std::string Summary(const std::vector<FakeCommit>& commits) const;
+  // Times from `event` until a write of each of the items was acknowledged.
+  // Infinite for items without one.
+  std::vector<absl::Duration> TimesToNextWrite(
+      absl::Time event,
+      const std::vector<std::string>& items) const;
 
   // Conversions between the number of a write and the value that it stores.
   // ParseValue returns 0 for a text that is no such value.
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -216,6 +216,9 @@
                 : KeyAt(item_count % workspaces, item_count / workspaces % 2),
             workspaces == 0 ? nullptr : &m_workspace_history));
         items.push_back(item);
+        if (kind != CallerKind::kViews) {
+          m_items[group->Name()].push_back(item);
+        }
       }
     }
   }
@@ -576,12 +579,47 @@
   }
   m_scheduled_ends.push_back({SteadyNow() + away, [this, age, rewrite_time]() {
                                 m_store->ReturnToCopy(age, rewrite_time);
+                                m_returns.push_back(SteadyNow());
                                 m_store->SetBusy(false);
                                 PrintEvent(
                                     absl::StrCat("era ", m_store->Era()));
                               }});
 }
 
+void Soak::PrintRecoveries() {
+  std::vector<absl::Duration> groups;
+  std::vector<absl::Duration> callers;
+  for (size_t index = 0; index < m_returns.size(); ++index) {
+    const absl::Time next = index + 1 < m_returns.size()
+                                ? m_returns[index + 1]
+                                : absl::InfiniteFuture();
+    for (const auto& [group, items] : m_items) {
+      const std::vector<absl::Duration> times =
+          m_history.TimesToNextWrite(m_returns[index], items);
+      const auto [first, last] =
+          std::minmax_element(times.begin(), times.end());
+      // A return soon after this one starts the wait anew.
+      if (m_returns[index] + *last < next) {
+        groups.push_back(*first);
+        callers.push_back(*last);
+      }
+    }
+  }
+  if (groups.empty()) {
+    return;
+  }
+  std::sort(groups.begin(), groups.end());
+  std::sort(callers.begin(), callers.end());
+  PrintEvent(
+      absl::StrCat("returns=", m_returns.size(), " counted=", groups.size(),
+                   " ms until a group takes writes: median ",
+                   absl::ToInt64Milliseconds(groups[groups.size() / 2]),
+                   " worst ", absl::ToInt64Milliseconds(groups.back()),
+                   ", until all its callers do: median ",
+                   absl::ToInt64Milliseconds(callers[callers.size() / 2]),
+                   " worst ", absl::ToInt64Milliseconds(callers.back())));
+}
+
 void Soak::EndFaults(absl::Time until) {
   for (size_t index = 0; index < m_scheduled_ends.size();) {
     if (m_scheduled_ends[index].at <= until) {
@@ -656,9 +694,9 @@
     return {"the instances did not start to serve"};
   }
   const absl::Time end = SteadyNow() + absl::Seconds(m_options.seconds);
-  absl::Time next_fault = SteadyNow();
+  absl::Time next_fault = m_options.calm ? absl::InfiniteFuture() : SteadyNow();
   std::mt19937 kill_all_random(static_cast<uint32_t>(m_options.seed));
-  absl::Time next_kill_all = m_options.orders_late
+  absl::Time next_kill_all = m_options.orders_late && !m_options.calm
                                  ? SteadyNow() + TimeToKillAll(&kill_all_random)
                                  : absl::InfiniteFuture();
   absl::Time next_key_change =
@@ -728,6 +766,7 @@
     }
   }
   PrintEvent(m_history.Summary(Commits()));
+  PrintRecoveries();
   return m_violations;
 }
 
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -40,6 +40,8 @@
   bool orders_late = false;
   // The store returns from copies that are some seconds old.
   bool store_returns = false;
+  // Injects only what the other options ask for.
+  bool calm = false;
   // Workspaces with two keys each, of which all but the first have a quota. 0
   // for a configuration without workspaces.
   int workspaces = 0;
@@ -90,6 +92,8 @@
   void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
   // Lets the store return from a copy, sometimes after it was away.
   void ReturnStore();
+  // Prints how long the groups and the callers took no writes after returns.
+  void PrintRecoveries();
   // Stores a new version of the configuration.
   void PutConfiguration();
   // The list of workspaces in the configuration.
@@ -126,6 +130,7 @@
   std::vector<std::unique_ptr<InstanceProcess>> m_instances;
   std::vector<absl::Time> m_down_until;  // Starts of killed instances.
   std::vector<std::unique_ptr<SoakCaller>> m_callers;
+  std::map<std::string, std::vector<std::string>> m_items;  // By group.
   std::atomic<size_t> m_last_holder = 0;  // Index of the last to promote.
   OrderPlanner m_planner;
   absl::Mutex m_orders_mutex;
@@ -137,6 +142,7 @@
   std::mt19937 m_key_random;
   // Not m_random, whose draws stay the same without returns of the store.
   std::mt19937 m_return_random;
+  std::vector<absl::Time> m_returns;
   std::map<std::string, std::string> m_keys;  // Each key's present workspace.
   WorkspaceHistory m_workspace_history;
 };
