--- a/Source/gateway/caller_session.cc
+++ b/Source/gateway/caller_session.cc
@@ -38,6 +38,10 @@
 // Of an entry that holds a value or a prepared statement, besides its texts.
 constexpr size_t kStateEntryBytes = 160;
 
+// How often a commit is checked that was answered while the instance registers
+// in a new era of the store.
+constexpr absl::Duration kLeaseRecheckInterval = absl::Milliseconds(20);
+
 // Targets at which a read is tried although lenders expect that they cannot
 // serve it in time. A group has three targets.
 constexpr int kMaxBackloggedTargets = 3;
@@ -647,6 +651,15 @@
   // replaced.
   if (commits && reply.code == ReplyCode::kComplete && m_at_primary &&
       m_wrote && !m_gateway->MayAcknowledgeCommit(pool, reply.position)) {
+    if (m_gateway->LeaseReturnsSoon()) {
+      m_retry_timer = m_gateway->Loop()->RunAfter(
+          kLeaseRecheckInterval, [this, reply = std::move(reply)]() {
+            if (m_request && m_connection != nullptr) {
+              OnReply(reply);
+            }
+          });
+      return;
+    }
     reply.code = ReplyCode::kInDoubt;
     reply.rows.clear();
     reply.error_code.clear();
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -121,6 +121,7 @@
   void OnReadCompleted() { m_repeat_budget.OnCompleted(m_loop->Now()); }
   const GroupLeader& Leader(const GroupName& group) const;
   const LeadershipView& Leadership() const { return m_leadership->View(); }
+  bool LeaseReturnsSoon() const { return m_leadership->LeaseReturnsSoon(); }
   void OnNotPrimaryReply(const TargetPool* pool);
   void RecordPrimaryReply(const TargetPool* pool,
                           absl::Time sent,
--- a/Tests/gateway/caller_session_test.cc
+++ b/Tests/gateway/caller_session_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Source/gateway/era_scoped_row_store.h"
 #include "Source/gateway/gateway.h"
 #include "Tests/gateway/session_fixture.h"
 #include "absl/strings/str_cat.h"
@@ -552,5 +553,48 @@
   CHECK(m_session->StateBytes() < 3 * value.size());
 }
 
+class NewEraFixture : public SessionFixture {
+ protected:
+  // The target answers a write while the instance registers in a new era.
+  void AnswerWriteInNewEra() {
+    Open("orders");
+    RunStatement(StatementKind::kWrite, "WRITE k v");
+    const FakeTable copy = m_table;
+    m_table.ReturnTo(copy);
+    m_leadership.OnEra(1);
+    REQUIRE_FALSE(m_leadership.LeaseValid());
+  }
+};
+
+// Each commit in flight was in doubt when the store returned from a copy.
+TEST_CASE_FIXTURE(NewEraFixture,
+                  "CallerSession_EraBeginsInCommit_IsAcknowledgedLater") {
+  AnswerWriteInNewEra();
+  ReplyToOldest(ReplyCode::kComplete);
+  m_loop.RunFor(absl::Seconds(1));
+  REQUIRE(m_caller.replies.size() == 1);
+  CHECK(LastReply().code == ReplyCode::kComplete);
+}
+
+TEST_CASE_FIXTURE(NewEraFixture,
+                  "CallerSession_OtherPrimaryLeadsInNewEra_ReportsInDoubt") {
+  AnswerWriteInNewEra();
+  GroupLeader leader;
+  leader.epoch = 9;
+  leader.phase = LeaderPhase::kOpen;
+  leader.primary = "db1";
+  leader.term = 2;
+  leader.holder = "x";
+  RowTransaction transaction;
+  transaction.writes = {
+      {EraScopedRowStore::StoredKey(1, LeadershipView::LeaderKey("g")),
+       LeadershipView::EncodeLeader(leader), 0, false}};
+  (void)m_table.Apply(transaction);
+  ReplyToOldest(ReplyCode::kComplete);
+  m_loop.RunFor(absl::Seconds(2));
+  REQUIRE(m_caller.replies.size() == 1);
+  CHECK(LastReply().code == ReplyCode::kInDoubt);
+}
+
 }  // namespace
 }  // namespace heatherwick
