gateway: Count no confirmation of an earlier era for a change of the new one

Found by reading the callbacks that start in one era and end in the next. An instance that ended its use of a primary for a change of the era before recorded the confirmation in the new era, in which epochs begin anew. A later change of the same epoch then did not wait for this instance's lease, and it could acknowledge writes of the replaced primary.

The callback, and those of two status queries, now end with their era. StoreReturn_QuiescedAfterwards_ConfirmsNoNewChange fails without the check (i0 may acknowledge for g0-db0 while g0-db1 is promoted) and holds with it.

The cluster of the tests ignored hold_quiesce, so that LeadershipManager_MemberNeverQuiesces_LosesItsLease could not fail for its reason; it is in force now, and the test passes. gateway_test and promotion_order_test pass.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -580,12 +580,14 @@
       leader.epoch != state.quiescing_epoch) {
     state.quiescing_epoch = leader.epoch;
     const uint64_t epoch = leader.epoch;
-    m_groups->Quiesce(group, leader.planned,
-                      [this, group, epoch, alive = m_alive]() {
-                        if (*alive) {
-                          Confirm(group, epoch);
-                        }
-                      });
+    m_groups->Quiesce(
+        group, leader.planned,
+        [this, group, epoch, era = m_view.Era(), alive = m_alive]() {
+          // Epochs begin anew with each era.
+          if (*alive && m_view.Era() == era) {
+            Confirm(group, epoch);
+          }
+        });
   }
 }
 
@@ -756,9 +758,9 @@
   const uint64_t epoch = leader.epoch;
   m_groups->QueryStatus(
       group, leader.primary, kProbeTimeout,
-      [this, group, epoch,
+      [this, group, epoch, era = m_view.Era(),
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
+        if (!*alive || m_view.Era() != era) {
           return;
         }
         GroupState& probed = StateOf(group);
@@ -896,9 +898,9 @@
   state.probing = true;
   m_groups->QueryStatus(
       group, leader.primary, kProbeTimeout,
-      [this, group, requested_round,
+      [this, group, requested_round, era = m_view.Era(),
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
+        if (!*alive || m_view.Era() != era) {
           return;
         }
         GroupState& probed = StateOf(group);
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -148,6 +148,9 @@
     void Quiesce(const GroupName&,
                  bool planned,
                  std::function<void()> done) override {
+      if (hold_quiesce) {
+        return;
+      }
       m_cluster->m_loop.Add(
           planned ? absl::Milliseconds(200) : absl::ZeroDuration(),
           std::move(done));
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -230,6 +230,31 @@
   CHECK(found);
 }
 
+// An instance ends its use of a primary for a change of the era before. It must
+// not count as having confirmed a change of the same epoch in the new era.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_QuiescedAfterwards_ConfirmsNoNewChange") {
+  Start(3);
+  m_cluster->m_databases["g0-db0"].draining = true;
+  while (m_cluster->At(0).Manager().View().Leader("g0").epoch < 2) {
+    m_cluster->RunFor(absl::Milliseconds(5));
+  }
+  m_cluster->m_table.ReturnTo(m_empty_table);
+  m_cluster->AddInstance("i1");
+  m_cluster->AddInstance("i2");
+  m_cluster->m_databases["g0-db0"].draining = false;
+  m_cluster->RunFor(absl::Seconds(8));
+  // Chosen by an instance that remembers nothing.
+  REQUIRE(m_cluster->At(0).Manager().View().Leader("g0").epoch == 1);
+  REQUIRE(m_cluster->AllUse("g0", "g0-db0"));
+  m_cluster->At(0).store.SetDown(true);
+  m_cluster->At(0).isolated = true;
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->At(1).Manager().UsablePrimary("g0") == "g0-db1");
+}
+
 // Rows of earlier eras would add up with each return.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
