gateway: Keep the shares of connections while members register again

After a return of the store the members register one after the other, and the first took the share of all: a database with 16 connections then refuses some, and lenders move twice. For 1.5 s the members of the era before that have not registered yet count as well.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -264,14 +264,14 @@
 }
 
 void Gateway::UpdateLenders(const GroupName& name, Group* group, size_t limit) {
-  const LeadershipView& view = m_leadership->View();
   if (group->planned_limit == limit &&
-      group->planned_revision == view.MembersRevision()) {
+      group->planned_revision == m_leadership->SharingRevision()) {
     return;
   }
   group->planned_limit = limit;
-  group->planned_revision = view.MembersRevision();
-  std::vector<FleetMember> members = FleetMembers(view);
+  group->planned_revision = m_leadership->SharingRevision();
+  const std::map<InstanceId, MemberRow> rows = m_leadership->SharingMembers();
+  std::vector<FleetMember> members = FleetMembers(rows);
   group->lender_plan = PlanLenders(name, members, limit, m_leadership->Self());
   const LenderPlan& plan = group->lender_plan;
   group->lends = plan.self_lends;
@@ -279,7 +279,7 @@
   std::vector<BorrowingDriver::Lender> lenders;
   if (group->borrows) {
     for (const InstanceId& id : plan.lenders) {
-      const MemberRow& lender = view.Members().at(id);
+      const MemberRow& lender = rows.at(id);
       lenders.push_back(
           {id, lender.peer_address, lender.data_centre == m_data_centre});
     }
@@ -291,11 +291,12 @@
              plan.lenders.end();
     });
   }
-  SetNeighbours(name, members);
+  SetNeighbours(name, members, rows);
 }
 
 void Gateway::SetNeighbours(const GroupName& name,
-                            const std::vector<FleetMember>& members) {
+                            const std::vector<FleetMember>& members,
+                            const std::map<InstanceId, MemberRow>& rows) {
   const InstanceId& self = m_leadership->Self();
   std::vector<std::tuple<bool, uint64_t, InstanceId>> ranked;
   for (const FleetMember& member : members) {
@@ -309,8 +310,7 @@
   std::vector<BorrowingDriver::Lender> neighbours;
   neighbours.reserve(ranked.size());
   for (const auto& [remote, hash, id] : ranked) {
-    neighbours.push_back(
-        {id, m_leadership->View().Members().at(id).peer_address, !remote});
+    neighbours.push_back({id, rows.at(id).peer_address, !remote});
   }
   m_borrowing->SetNeighbours(name, std::move(neighbours));
 }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -192,7 +192,8 @@
   void TickGroup(const GroupName& name, Group* group);
   void UpdateLimits();
   void SetNeighbours(const GroupName& name,
-                     const std::vector<FleetMember>& members);
+                     const std::vector<FleetMember>& members,
+                     const std::map<InstanceId, MemberRow>& rows);
   void UpdateLenders(const GroupName& name, Group* group, size_t limit);
   void ScheduleDispatch(const GroupName& name);
   void Dispatch(const GroupName& name);
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -522,8 +522,25 @@
   }
 }
 
+std::map<InstanceId, MemberRow> LeadershipManager::SharingMembers() const {
+  std::map<InstanceId, MemberRow> members = m_view.Members();
+  if (LeaseReturnsSoon()) {
+    for (const auto& [id, departed] : m_view.Departed()) {
+      if (departed.seen == m_era_begun_at) {
+        members.emplace(id, departed.row);
+      }
+    }
+  }
+  return members;
+}
+
+uint64_t LeadershipManager::SharingRevision() const {
+  return 2 * m_view.MembersRevision() + (LeaseReturnsSoon() ? 1 : 0);
+}
+
 size_t LeadershipManager::MemberCount() const {
-  return std::max(kMinMembers, m_view.Members().size());
+  return std::max(kMinMembers, LeaseReturnsSoon() ? SharingMembers().size()
+                                                  : m_view.Members().size());
 }
 
 std::optional<TargetId> LeadershipManager::UsablePrimary(
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -77,7 +77,13 @@
   bool LeaseValid() const { return m_view.LeaseValid(m_loop->Now()); }
   const LeadershipView& View() const { return m_view; }
   const InstanceId& Self() const { return m_settings.self; }
-  // Number of instances that share the targets' connections; at least 1.
+  // The instances that share the targets' connections: the members and, shortly
+  // after a new era began, those of the era before that have not registered
+  // again yet. Otherwise the first to register would take the share of all.
+  std::map<InstanceId, MemberRow> SharingMembers() const;
+  // Changes whenever SharingMembers() changes.
+  uint64_t SharingRevision() const;
+  // Number of SharingMembers(); at least 1.
   size_t MemberCount() const;
   // Promotions of this run: orders sent, orders whose outcome the platform did
   // not report, and promotions that were seen to take effect.
--- a/Source/gateway/quota/member_fleet_view.cc
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -4,9 +4,11 @@
 
 namespace heatherwick {
 
-std::vector<FleetMember> FleetMembers(const LeadershipView& view) {
+std::vector<FleetMember> FleetMembers(
+    const std::map<InstanceId, MemberRow>& rows) {
   std::vector<FleetMember> members;
-  for (const auto& [id, member] : view.Members()) {
+  members.reserve(rows.size());
+  for (const auto& [id, member] : rows) {
     members.push_back({id, member.data_centre, member.capacity});
   }
   return members;
@@ -21,7 +23,7 @@
 }
 
 std::vector<FleetMember> MemberFleetView::Members() const {
-  return FleetMembers(m_leadership->View());
+  return FleetMembers(m_leadership->View().Members());
 }
 
 std::string MemberFleetView::PeerAddress(const InstanceId& id) const {
--- a/Source/gateway/quota/member_fleet_view.h
+++ b/Source/gateway/quota/member_fleet_view.h
@@ -3,6 +3,7 @@
 #ifndef SOURCE_GATEWAY_QUOTA_MEMBER_FLEET_VIEW_H_
 #define SOURCE_GATEWAY_QUOTA_MEMBER_FLEET_VIEW_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,9 @@
 
 namespace heatherwick {
 
-// The members of `view` with what is known of their capacity.
-std::vector<FleetMember> FleetMembers(const LeadershipView& view);
+// What is known of the members' capacity.
+std::vector<FleetMember> FleetMembers(
+    const std::map<InstanceId, MemberRow>& rows);
 
 class MemberFleetView : public QuotaFleetView {
  public:
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -255,6 +255,28 @@
   CHECK(m_cluster->At(1).Manager().UsablePrimary("g0") == "g0-db1");
 }
 
+// The first to register again must not open the connections of all.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_MembersRegisterAgain_ShareOfConnectionsStays") {
+  Start(6);
+  m_cluster->RunFor(absl::Seconds(1));
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->Kill("i5");
+  m_cluster->m_table.ReturnTo(copy);
+  size_t fewest = 6;
+  size_t registered = 6;
+  for (int step = 0; step < 200; ++step) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+    const LeadershipManager& manager = m_cluster->At(0).Manager();
+    fewest = std::min(fewest, manager.MemberCount());
+    registered = std::min(registered, manager.View().Members().size());
+  }
+  CHECK(fewest == 6);
+  CHECK(registered < 5);
+  m_cluster->RunFor(absl::Seconds(2));
+  CHECK(m_cluster->At(0).Manager().MemberCount() == 5);
+}
+
 // Rows of earlier eras would add up with each return.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
