gateway: Choose no first leader while the store's rows may come back

A store from a copy that is older than the group's first leader row shows no history, and its databases write their entries again one after the other. The entry of a replaced target that had led in the first term was alone in the list and was published; an order of the group's first seconds could take effect after the publication.

--- a/Source/decision/first_leader_choice.cc
+++ b/Source/decision/first_leader_choice.cc
@@ -58,6 +58,7 @@
 
 FirstLeaderChoice ChooseFirstLeader(const std::vector<TargetClaim>& targets,
                                     const std::optional<EarlierClaim>& earlier,
+                                    bool rows_may_be_lost,
                                     bool orders_ended) {
   const Summary summary = Summarize(targets);
   const uint64_t highest_term =
@@ -71,9 +72,9 @@
   }
   const bool leader_known = summary.all_answered && summary.leader != nullptr &&
                             summary.leader->answer->term >= highest_term;
-  const bool has_history = earlier.has_value() || highest_term > kFirstTerm ||
-                           summary.leading > 1 || summary.registered > 1 ||
-                           summary.outdated_entry;
+  const bool has_history = rows_may_be_lost || earlier.has_value() ||
+                           highest_term > kFirstTerm || summary.leading > 1 ||
+                           summary.registered > 1 || summary.outdated_entry;
   if (leader_known && (orders_ended || !has_history)) {
     choice.action = FirstLeaderAction::kPublish;
     choice.reason = has_history ? "leads in the highest term"
--- a/Source/decision/first_leader_choice.h
+++ b/Source/decision/first_leader_choice.h
@@ -56,10 +56,13 @@
   std::string reason;
 };
 
-// `orders_ended` tells that no order of a promotion that was sent before the
-// leader row was lost can take effect any more.
+// `rows_may_be_lost` tells that the store may have lost the leader row a short
+// while ago, so that an order may be in flight and entries of targets missing,
+// whatever the others show. `orders_ended` tells that no order of a promotion
+// that was sent before the row was lost can take effect any more.
 FirstLeaderChoice ChooseFirstLeader(const std::vector<TargetClaim>& targets,
                                     const std::optional<EarlierClaim>& earlier,
+                                    bool rows_may_be_lost,
                                     bool orders_ended);
 
 }  // namespace heatherwick
--- a/Tests/decision/first_leader_choice_test.cc
+++ b/Tests/decision/first_leader_choice_test.cc
@@ -23,8 +23,9 @@
 
 TEST_CASE_FIXTURE(FirstLeaderFixture,
                   "FirstLeaderChoice_FirstStart_IsPublishedAtOnce") {
-  const FirstLeaderChoice choice = ChooseFirstLeader(
-      {Follows("a", 1), Leads("b", 1), Follows("c", 1)}, std::nullopt, false);
+  const FirstLeaderChoice choice =
+      ChooseFirstLeader({Follows("a", 1), Leads("b", 1), Follows("c", 1)},
+                        std::nullopt, false, false);
   CHECK(choice.action == FirstLeaderAction::kPublish);
   CHECK(choice.target == "b");
   CHECK(choice.term == 1);
@@ -35,15 +36,25 @@
                   "FirstLeaderChoice_TwoClaim_NewerTermLeadsAfterOrders") {
   const std::vector<TargetClaim> claims = {Leads("a", 3), Leads("b", 4),
                                            Follows("c", 4)};
-  CHECK(ChooseFirstLeader(claims, std::nullopt, false).action ==
+  CHECK(ChooseFirstLeader(claims, std::nullopt, false, false).action ==
         FirstLeaderAction::kWait);
   const FirstLeaderChoice choice =
-      ChooseFirstLeader(claims, std::nullopt, true);
+      ChooseFirstLeader(claims, std::nullopt, false, true);
   CHECK(choice.action == FirstLeaderAction::kPublish);
   CHECK(choice.target == "b");
   CHECK(choice.term == 4);
 }
 
+// The only entry that the store has again may be that of a replaced target.
+TEST_CASE_FIXTURE(FirstLeaderFixture,
+                  "FirstLeaderChoice_RowsMayBeLost_WaitsForOtherEntries") {
+  CHECK(ChooseFirstLeader({Leads("a", 1)}, std::nullopt, true, false).action ==
+        FirstLeaderAction::kWait);
+  CHECK(ChooseFirstLeader({Leads("a", 1), Follows("b", 1)}, std::nullopt, true,
+                          true)
+            .action == FirstLeaderAction::kPublish);
+}
+
 // The successor may be the target that does not answer.
 TEST_CASE_FIXTURE(FirstLeaderFixture,
                   "FirstLeaderChoice_OneIsSilent_TargetIsElected") {
@@ -51,10 +62,10 @@
     CAPTURE(registered);
     const std::vector<TargetClaim> claims = {Leads("a", 1), Follows("b", 1),
                                              Silent("c", registered)};
-    CHECK(ChooseFirstLeader(claims, std::nullopt, false).action ==
+    CHECK(ChooseFirstLeader(claims, std::nullopt, false, false).action ==
           FirstLeaderAction::kWait);
     const FirstLeaderChoice choice =
-        ChooseFirstLeader(claims, std::nullopt, true);
+        ChooseFirstLeader(claims, std::nullopt, false, true);
     CHECK(choice.action == FirstLeaderAction::kElect);
     CHECK(choice.target == "a");
   }
@@ -62,8 +73,9 @@
 
 TEST_CASE_FIXTURE(FirstLeaderFixture,
                   "FirstLeaderChoice_ReplicaIsInNewerTerm_TargetIsElected") {
-  const FirstLeaderChoice choice = ChooseFirstLeader(
-      {Leads("a", 3), Follows("b", 4), Follows("c", 3)}, std::nullopt, true);
+  const FirstLeaderChoice choice =
+      ChooseFirstLeader({Leads("a", 3), Follows("b", 4), Follows("c", 3)},
+                        std::nullopt, false, true);
   CHECK(choice.action == FirstLeaderAction::kElect);
   CHECK(choice.term == 4);
 }
@@ -73,21 +85,22 @@
                   "FirstLeaderChoice_EntryIsOutdated_WaitsForOrders") {
   TargetClaim promoted = Leads("a", 1);
   promoted.registered_as_primary = false;
-  CHECK(ChooseFirstLeader({promoted, Follows("b", 1)}, std::nullopt, false)
-            .action == FirstLeaderAction::kWait);
+  CHECK(
+      ChooseFirstLeader({promoted, Follows("b", 1)}, std::nullopt, false, false)
+          .action == FirstLeaderAction::kWait);
 }
 
 TEST_CASE_FIXTURE(FirstLeaderFixture,
                   "FirstLeaderChoice_EarlierRowHasNewerTerm_TargetIsElected") {
   const FirstLeaderChoice choice = ChooseFirstLeader(
-      {Leads("a", 3), Follows("b", 3)}, EarlierClaim{"c", 4}, true);
+      {Leads("a", 3), Follows("b", 3)}, EarlierClaim{"c", 4}, false, true);
   CHECK(choice.action == FirstLeaderAction::kElect);
 }
 
 TEST_CASE_FIXTURE(FirstLeaderFixture,
                   "FirstLeaderChoice_NoTargetAnswers_Waits") {
   CHECK(ChooseFirstLeader({Silent("a", true), Silent("b", false)},
-                          EarlierClaim{"a", 4}, true)
+                          EarlierClaim{"a", 4}, false, true)
             .action == FirstLeaderAction::kWait);
 }
 
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -89,6 +89,44 @@
   CHECK(m_cluster->wrong_acknowledgements == 0);
 }
 
+// Targets write their entries again one after the other. The replaced target is
+// in its first term, which shows no history.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "FirstLeader_ReplacedTargetIsListedFirst_IsNotPublished") {
+  Start(3);
+  ReplaceFirstPrimary();
+  m_cluster->m_databases["g0-db1"].listed = false;
+  m_cluster->m_databases["g0-db2"].listed = false;
+  m_cluster->m_table.ReturnTo(m_empty_table);
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(2));
+  m_cluster->m_databases["g0-db1"].listed = true;
+  m_cluster->m_databases["g0-db2"].listed = true;
+  m_cluster->RunFor(kRecoveryWithoutMemory);
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// An order of the group's first seconds, of which the copy shows nothing.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "FirstLeader_FirstOrderInFlight_OldPrimaryIsNotUsed") {
+  Start(3);
+  m_cluster->order_fate = [](const TargetId&) {
+    return OrderFate{absl::Milliseconds(2900), true};
+  };
+  SetReachable("g0-db0", false);
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(5));
+  }
+  m_cluster->order_fate = nullptr;
+  m_cluster->m_table.ReturnTo(m_empty_table);
+  m_cluster->RestartAll();
+  SetReachable("g0-db0", true);
+  m_cluster->RunFor(kRecoveryWithoutMemory);
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_InstanceStarts_ReplacedPrimaryIsNotUsed") {
   Start(3);
