gateway: Judge first leaders by the time at which the targets were asked

Found by the model of the store's return. The end of orders in flight was checked when the last answer of a target was read. An answer given before an order took effect, and read after the end of the wait, named the replaced target as the leader in the highest term: after a pause of the process, or with one slow answer and an order that took almost its whole lifetime.

The time is now taken when the targets are asked, as a change of primary does.

--- a/Source/gateway/first_leader.cc
+++ b/Source/gateway/first_leader.cc
@@ -88,6 +88,16 @@
                              const std::shared_ptr<GroupState>& state) {
   state->asking = true;
   state->claims.clear();
+  const absl::Time now = m_loop->Now();
+  const absl::Duration wait = kRecordedOrderLifetime + kOrdersMargin;
+  // Only a store that has returned from a copy has lost rows. Whoever has not
+  // read an earlier era cannot tell that from a store whose first era is 1.
+  state->rows_may_be_lost =
+      m_view->Era() > 0 && now < m_view->EraReadAt() + wait;
+  // The targets of a group that is new in the configuration may be listed one
+  // after the other.
+  state->orders_ended =
+      now >= std::max(m_view->EraReadAt(), state->first_proposed) + wait;
   for (const ListedTarget& target : m_groups->Targets(group)) {
     state->claims.push_back({target.id, target.claims_primary, std::nullopt});
   }
@@ -125,18 +135,8 @@
   if (earlier != nullptr) {
     claim = {earlier->leader.primary, earlier->leader.term};
   }
-  const absl::Time now = m_loop->Now();
-  const absl::Duration wait = kRecordedOrderLifetime + kOrdersMargin;
-  // Only a store that has returned from a copy has lost rows. Whoever has not
-  // read an earlier era cannot tell that from a store whose first era is 1.
-  const bool rows_may_be_lost =
-      m_view->Era() > 0 && now < m_view->EraReadAt() + wait;
-  // The targets of a group that is new in the configuration may be listed one
-  // after the other.
-  const bool orders_ended =
-      now >= std::max(m_view->EraReadAt(), state->first_proposed) + wait;
-  const FirstLeaderChoice choice =
-      ChooseFirstLeader(state->claims, claim, rows_may_be_lost, orders_ended);
+  const FirstLeaderChoice choice = ChooseFirstLeader(
+      state->claims, claim, state->rows_may_be_lost, state->orders_ended);
   const std::string decision = absl::StrCat(
       "action=", FirstLeaderActionName(choice.action),
       " target=", choice.target, " term=", choice.term, " reason=\"",
--- a/Source/gateway/first_leader.h
+++ b/Source/gateway/first_leader.h
@@ -51,6 +51,10 @@
     absl::Time first_proposed;
     absl::Time act_at;
     bool asking = false;
+    // These hold when the targets are asked. An order may take effect before a
+    // target's answer is read.
+    bool rows_may_be_lost = false;
+    bool orders_ended = false;
     std::vector<TargetClaim> claims;
     size_t unanswered = 0;
     std::string logged;  // The last decision that was logged.
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -127,16 +127,20 @@
         absl::Duration timeout,
         std::function<void(std::optional<TargetStatus>)> done) override {
       const bool reached = Reaches(target);
-      m_cluster->m_loop.Add(reached ? absl::Milliseconds(3) : timeout,
-                            [this, target, reached, done = std::move(done)]() {
-                              FakeDatabase& database =
-                                  m_cluster->m_databases.at(target);
-                              const bool busy = database.busy_statuses > 0;
-                              database.busy_statuses -= busy ? 1 : 0;
-                              done(reached && Reaches(target) && !busy
-                                       ? std::optional(database.status)
-                                       : std::nullopt);
-                            });
+      m_cluster->m_loop.Add(
+          reached ? absl::Milliseconds(3) : timeout,
+          [this, target, reached, done = std::move(done)]() {
+            FakeDatabase& database = m_cluster->m_databases.at(target);
+            const bool busy = database.busy_statuses > 0;
+            database.busy_statuses -= busy ? 1 : 0;
+            const std::optional<TargetStatus> status =
+                reached && Reaches(target) && !busy
+                    ? std::optional(database.status)
+                    : std::nullopt;
+            // The answer is on its way, or the instance does not run.
+            m_cluster->m_loop.Add(status_delay,
+                                  [status, done]() { done(status); });
+          });
     }
     uint32_t SyncReplicas(const GroupName&) const override {
       return m_cluster->sync_replicas;
@@ -207,9 +211,10 @@
    public:
     FakeRowStore store;
     std::set<TargetId> unreachable;
-    bool isolated = false;      // Cut off from its peers.
-    int partition = 0;          // Only peers in the same partition are reached.
-    bool hold_quiesce = false;  // Its statements at the primary never end.
+    bool isolated = false;  // Cut off from its peers.
+    int partition = 0;      // Only peers in the same partition are reached.
+    absl::Duration status_delay;  // Of the answers of targets.
+    bool hold_quiesce = false;    // Its statements at the primary never end.
 
    private:
     std::unique_ptr<LeadershipManager> m_manager;
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -107,6 +107,30 @@
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
 }
 
+// The targets answered before the order took effect, and their answers were
+// read after it, when orders had ended.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "FirstLeader_AnswersAreReadLate_ReplacedPrimaryIsNotUsed") {
+  Start(3);
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->order_fate = [](const TargetId&) {
+    return OrderFate{absl::Milliseconds(3600), true};
+  };
+  SetReachable("g0-db0", false);
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(5));
+  }
+  m_cluster->m_table.ReturnTo(copy);
+  m_cluster->RestartAll();
+  SetReachable("g0-db0", true);
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).status_delay = absl::Milliseconds(1500);
+  }
+  m_cluster->RunFor(absl::Seconds(20));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 // An order of the group's first seconds, of which the copy shows nothing.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "FirstLeader_FirstOrderInFlight_OldPrimaryIsNotUsed") {
