--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -251,6 +251,103 @@
   CHECK(m_cluster->AllUse("g0", "g0-db0"));
 }
 
+// A member's row shows which members it knows. A row of the present era was
+// taken to know members that only registered in this era after it, because
+// their rows tell since when they had been in the table of the era before. A
+// change then did not wait for a lease that was extended by unanimity.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_MembersRegisterApart_UnanimityIsWaitedFor") {
+  // Without a return, the change waits.
+  for (const bool returns : {false, true}) {
+    CAPTURE(returns);
+    Start(4);
+    m_cluster->RunFor(absl::Seconds(2));
+    const FakeTable copy = m_cluster->m_table;
+    // i2 and i3 lose the store and the others before the return.
+    for (const size_t index : {size_t{2}, size_t{3}}) {
+      m_cluster->At(index).store.SetDown(true);
+      m_cluster->At(index).partition = 1;
+    }
+    m_cluster->RunFor(absl::Milliseconds(500));
+    if (returns) {
+      m_cluster->m_table.ReturnTo(copy);
+    }
+    m_cluster->RunFor(absl::Seconds(2));
+    REQUIRE(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db0");
+    REQUIRE(m_cluster->At(1).Manager().UsablePrimary("g0") == "g0-db0");
+    // Now i0, i1 and the primary are cut off from the store and from i2 and i3.
+    for (const size_t index : {size_t{0}, size_t{1}}) {
+      m_cluster->At(index).store.SetDown(true);
+    }
+    for (const size_t index : {size_t{2}, size_t{3}}) {
+      m_cluster->At(index).store.SetDown(false);
+      m_cluster->At(index).unreachable.insert("g0-db0");
+    }
+    m_cluster->RunFor(absl::Seconds(20));
+    CHECK(m_cluster->wrong_acknowledgements == 0);
+  }
+}
+
+// The instances share a target's connections by the number of members. While
+// the members registered again, each took itself to be the only one, and the
+// shares together exceeded the target's limit.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_MembersRegister_CountDoesNotDrop") {
+  Start(6);
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->m_table.ReturnTo(copy);
+  size_t lowest = 6;
+  for (int step = 0; step < 400; ++step) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+    for (size_t index = 0; index < 6; ++index) {
+      lowest = std::min(lowest, m_cluster->At(index).Manager().MemberCount());
+    }
+  }
+  CHECK(lowest == 6);
+}
+
+// A planned change of the era before ends its statements in the new era, and
+// its epoch was confirmed there. Epochs begin anew if only started instances
+// publish the leader, so that later changes did not wait for this instance.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_QuiesceEndsInNewEra_ConfirmsNothing") {
+  Start(3);
+  ReplaceFirstPrimary();
+  m_cluster->m_databases["g0-db1"].draining = true;
+  while (m_cluster->At(2).Manager().View().Leader("g0").phase !=
+         LeaderPhase::kChanging) {
+    m_cluster->RunFor(absl::Milliseconds(5));
+  }
+  m_cluster->m_databases["g0-db1"].draining = false;
+  const uint64_t epoch = m_cluster->At(2).Manager().View().Leader("g0").epoch;
+  m_cluster->m_table.ReturnTo(m_empty_table);
+  m_cluster->AddInstance("i0");
+  m_cluster->AddInstance("i1");
+  m_cluster->RunFor(absl::Seconds(1));
+  const LeadershipView& view = m_cluster->At(0).Manager().View();
+  REQUIRE(view.Era() == 1);
+  REQUIRE(view.Members().contains("i2"));
+  CHECK_FALSE(view.HasConfirmed("i2", view.Members().at("i2").incarnation, "g0",
+                                epoch));
+  // Only instances without memory publish the leader.
+  m_cluster->At(2).store.SetDown(true);
+  m_cluster->At(2).isolated = true;
+  m_cluster->RunFor(kRecoveryWithoutMemory);
+  m_cluster->At(2).store.SetDown(false);
+  m_cluster->At(2).isolated = false;
+  m_cluster->RunFor(absl::Seconds(3));
+  REQUIRE(m_cluster->AllUse("g0", "g0-db1"));
+  // i2 misses the next change, which must wait for its lease. The other replica
+  // has the whole log, so that the change waits for nothing else.
+  m_cluster->m_databases["g0-db2"].status.received =
+      m_cluster->m_databases["g0-db1"].status.received;
+  m_cluster->At(2).store.SetDown(true);
+  m_cluster->At(2).isolated = true;
+  m_cluster->m_databases["g0-db1"].draining = true;
+  m_cluster->RunFor(absl::Seconds(5));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+}
+
 // Returns to copies of random age, restarts, cuts and deaths of primaries, in
 // random order.
 class RandomReturns : public StoreReturnFixture {
