--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -4,12 +4,16 @@
 // of a primary that has been replaced, and that fencing tokens never decrease.
 
 #include <algorithm>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "Source/gateway/era_scoped_row_store.h"
+#include "Source/gateway/first_leader.h"
+#include "Source/gateway/store_version.h"
 #include "Tests/gateway/leadership_cluster.h"
 #include "Tests/gateway/seed_range.h"
 #include "doctest/doctest.h"
@@ -348,6 +352,118 @@
   CHECK(m_cluster->wrong_acknowledgements == 0);
 }
 
+// A group whose last target is answered late, as to an instance that is
+// suspended while it asks.
+class LateStatuses : public GroupAccess {
+ public:
+  explicit LateStatuses(VirtualLoop* loop) : m_loop(loop) {}
+
+  std::vector<GroupName> Groups() const override { return {"g"}; }
+  std::vector<ListedTarget> Targets(const GroupName& group) const override {
+    std::vector<ListedTarget> targets(2);
+    for (size_t index = 0; index < targets.size(); ++index) {
+      targets[index].id = absl::StrCat("db", index);
+      targets[index].group = group;
+      targets[index].claims_primary = index == 0;
+    }
+    return targets;
+  }
+  absl::Time LastContact(const GroupName&, const TargetId&) const override {
+    return absl::InfinitePast();
+  }
+  void QueryStatus(
+      const GroupName&,
+      const TargetId& target,
+      absl::Duration,
+      std::function<void(std::optional<TargetStatus>)> done) override {
+    TargetStatus status;
+    status.primary = target == "db0";
+    status.term = 2;
+    // The status is that of the time of the query.
+    m_loop->Add(target == "db0" ? absl::Milliseconds(3) : late,
+                [status, done = std::move(done)]() { done(status); });
+  }
+  uint32_t SyncReplicas(const GroupName&) const override { return 0; }
+  std::optional<Position> PositionCovering(const GroupName&,
+                                           absl::Time) const override {
+    return std::nullopt;
+  }
+  void Quiesce(const GroupName&,
+               bool,
+               std::function<void()> done) override {
+    done();
+  }
+  void OnLeaderChanged(const GroupName&) override {}
+
+  absl::Duration late = absl::Milliseconds(3);
+
+ private:
+  VirtualLoop* const m_loop;
+};
+
+// An order can take effect after a target has stated that it leads. Its status
+// then proves nothing, although all orders have ended when the last target's
+// status arrives.
+TEST_CASE("FirstLeader_OrdersEndWhileTargetsAreAsked_IsNotPublished") {
+  VirtualLoop loop;
+  FakeTable table;
+  FakeRowStore store(&loop, &table);
+  LateStatuses groups(&loop);
+  LeadershipView view("i0", 1);
+  RowChanges read;
+  read.version = 1;
+  read.snapshot = true;
+  read.as_of = loop.Now();
+  view.Apply(read, loop.Now());
+  bool change_started = false;
+  FirstLeader first_leader(
+      "i0", 1, &loop, &store, &groups, &view, "table",
+      [&change_started](const GroupName&, const GroupLeader&) {
+        change_started = true;
+      });
+  groups.late = absl::Seconds(6);
+  first_leader.Propose("g", absl::ZeroDuration());
+  loop.RunFor(absl::Seconds(7));
+  CHECK(table.rows.empty());
+  CHECK_FALSE(change_started);
+}
+
+// A member that left in one era and joined again in the next has a lease of the
+// later one. A started instance took it for a member that had left, so that its
+// changes did not wait for it.
+TEST_CASE("EarlierRows_MemberLeftInEarlierEraAndJoinedAgain_IsWaitedFor") {
+  LeadershipView view("i0", 1);
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  view.BeginEra(3, now);
+  MemberRow member{2, "i1", 0, 0, "dc", 1};
+  RowChanges read;
+  read.version = QualifyVersion(3, 9);
+  read.snapshot = true;
+  read.as_of = now;
+  read.earlier_rows = {
+      {LeadershipView::ConfirmationKey("i1"),
+       LeadershipView::EncodeLeaving(1, {}), QualifyVersion(1, 5), false},
+      {LeadershipView::MemberKey("i1"), LeadershipView::EncodeMember(member),
+       QualifyVersion(2, 8), false},
+      {LeadershipView::ConfirmationKey("i1"),
+       LeadershipView::EncodeConfirmation(2, {}), QualifyVersion(2, 8), false}};
+  view.Apply(read, now);
+  CHECK(view.Departed().contains("i1"));
+}
+
+// One message that names an era which the store has not reached must not keep
+// the instances from the primary for good.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "Vouch_EraThatTheStoreHasNotReached_InstancesServeAgain") {
+  Start(3);
+  VouchQuery query;
+  query.instance = "i1";
+  query.leaders_version = QualifyVersion(7, 0);
+  m_cluster->At(0).Manager().Vouch(query);
+  m_cluster->RunFor(absl::Seconds(30));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
 // Returns to copies of random age, restarts, cuts and deaths of primaries, in
 // random order.
 class RandomReturns : public StoreReturnFixture {
