--- a/Tests/gateway/quota_gate_test.cc
+++ b/Tests/gateway/quota_gate_test.cc
@@ -124,6 +124,43 @@
   int m_calls = 0;
 };
 
+// After a return of the store the members register again within some hundred
+// milliseconds. The views in between had few members, so that no coordinator
+// had its share until a lease after the last of them, and operations within the
+// quota were refused.
+TEST_CASE_FIXTURE(QuotaGateFixture,
+                  "QuotaGate_MembersRegisterAgain_AdmitsWithinTheQuota") {
+  Start(4);
+  SetQuota(WorkspaceQuota{250, 50});
+  m_loop.RunFor(absl::Seconds(10));
+  const std::vector<FleetMember> all = m_instances.at("i0").fleet.members;
+  int asked = 0;
+  const auto ask_for = [&](absl::Duration time) {
+    for (int step = 0; step < time / absl::Milliseconds(20); ++step) {
+      m_loop.RunFor(absl::Milliseconds(20));
+      for (const auto& [id, instance] : m_instances) {
+        Admit(id);
+        ++asked;
+      }
+    }
+  };
+  ask_for(absl::Seconds(1));
+  CHECK(Admitted() >= asked * 9 / 10);
+  for (size_t registered = 1; registered <= all.size(); ++registered) {
+    for (auto& [id, instance] : m_instances) {
+      instance.fleet.members.assign(
+          all.begin(), all.begin() + static_cast<ptrdiff_t>(registered));
+      ++instance.fleet.revision;
+    }
+    m_loop.RunFor(absl::Milliseconds(60));
+  }
+  const int before = Admitted();
+  asked = 0;
+  ask_for(absl::Seconds(2));
+  MESSAGE("admitted ", Admitted() - before, " of ", asked);
+  CHECK(Admitted() - before >= asked * 9 / 10);
+}
+
 TEST_CASE_FIXTURE(QuotaGateFixture,
                   "QuotaGate_OnlyInstance_AdmitsWithoutACall") {
   Start(1);
