--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -522,8 +522,25 @@
   }
 }
 
+std::map<InstanceId, MemberRow> LeadershipManager::SharingMembers() const {
+  std::map<InstanceId, MemberRow> members = m_view.Members();
+  if (LeaseReturnsSoon()) {
+    for (const auto& [id, departed] : m_view.Departed()) {
+      if (departed.seen == m_era_begun_at) {
+        members.emplace(id, departed.row);
+      }
+    }
+  }
+  return members;
+}
+
+uint64_t LeadershipManager::SharingRevision() const {
+  return 2 * m_view.MembersRevision() + (LeaseReturnsSoon() ? 1 : 0);
+}
+
 size_t LeadershipManager::MemberCount() const {
-  return std::max(kMinMembers, m_view.Members().size());
+  return std::max(kMinMembers, LeaseReturnsSoon() ? SharingMembers().size()
+                                                  : m_view.Members().size());
 }
 
 std::optional<TargetId> LeadershipManager::UsablePrimary(
@@ -580,12 +597,14 @@
       leader.epoch != state.quiescing_epoch) {
     state.quiescing_epoch = leader.epoch;
     const uint64_t epoch = leader.epoch;
-    m_groups->Quiesce(group, leader.planned,
-                      [this, group, epoch, alive = m_alive]() {
-                        if (*alive) {
-                          Confirm(group, epoch);
-                        }
-                      });
+    m_groups->Quiesce(
+        group, leader.planned,
+        [this, group, epoch, era = m_view.Era(), alive = m_alive]() {
+          // Epochs begin anew with each era.
+          if (*alive && m_view.Era() == era) {
+            Confirm(group, epoch);
+          }
+        });
   }
 }
 
@@ -756,9 +775,9 @@
   const uint64_t epoch = leader.epoch;
   m_groups->QueryStatus(
       group, leader.primary, kProbeTimeout,
-      [this, group, epoch,
+      [this, group, epoch, era = m_view.Era(),
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
+        if (!*alive || m_view.Era() != era) {
           return;
         }
         GroupState& probed = StateOf(group);
@@ -896,9 +915,9 @@
   state.probing = true;
   m_groups->QueryStatus(
       group, leader.primary, kProbeTimeout,
-      [this, group, requested_round,
+      [this, group, requested_round, era = m_view.Era(),
        alive = m_alive](const std::optional<TargetStatus>& status) {
-        if (!*alive) {
+        if (!*alive || m_view.Era() != era) {
           return;
         }
         GroupState& probed = StateOf(group);
