--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -399,6 +399,44 @@
   CHECK(m_cluster->wrong_acknowledgements == 0);
 }
 
+// An instance that learns of the return from the others, and cannot read the
+// store itself, took itself to be the only member after 1.5 s.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_InstanceCannotReadTheStore_CountDoesNotDrop") {
+  Start(6);
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->At(1).store.SetDown(true);
+  m_cluster->m_table.ReturnTo(copy);
+  size_t lowest = 6;
+  for (int step = 0; step < 1000; ++step) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+    lowest = std::min(lowest, m_cluster->At(1).Manager().MemberCount());
+  }
+  CHECK(m_cluster->At(1).Manager().View().Era() == 1);
+  CHECK(lowest == 6);
+}
+
+// The second return came before the members had registered after the first.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_TwiceAtOnce_MemberCountDoesNotDrop") {
+  for (int gap = 5; gap <= 60; gap += 5) {
+    CAPTURE(gap);
+    Start(6);
+    const FakeTable copy = m_cluster->m_table;
+    m_cluster->m_table.ReturnTo(copy);
+    m_cluster->m_loop.RunFor(absl::Milliseconds(gap));
+    m_cluster->m_table.ReturnTo(copy);
+    size_t lowest = 6;
+    for (int step = 0; step < 400; ++step) {
+      m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+      for (size_t index = 0; index < 6; ++index) {
+        lowest = std::min(lowest, m_cluster->At(index).Manager().MemberCount());
+      }
+    }
+    CHECK(lowest == 6);
+  }
+}
+
 // A group whose last target is answered late, as to an instance that is
 // suspended while it asks.
 class LateStatuses : public GroupAccess {
