--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -437,6 +437,46 @@
   }
 }
 
+// An instance whose row had been removed while it was cut off took its place in
+// the earlier era's table into the new one. Members that had joined after the
+// removal were then taken to know it, and their unanimity was not waited for.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_RowWasRemovedBefore_UnanimityIsWaitedFor") {
+  for (const bool returns : {false, true}) {
+    CAPTURE(returns);
+    Start(2);
+    m_cluster->At(1).store.SetDown(true);
+    m_cluster->At(1).isolated = true;
+    // The change removes the row of i1.
+    m_cluster->At(0).unreachable.insert("g0-db0");
+    m_cluster->RunFor(absl::Seconds(8));
+    REQUIRE(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db1");
+    REQUIRE_FALSE(m_cluster->At(0).Manager().View().Members().contains("i1"));
+    m_cluster->AddInstance("u0");
+    m_cluster->AddInstance("u1");
+    m_cluster->RunFor(absl::Seconds(2));
+    m_cluster->At(0).Manager().Stop([]() {});
+    m_cluster->RunFor(absl::Seconds(3));
+    m_cluster->Kill("i0");
+    const FakeTable copy = m_cluster->m_table;
+    // u0, u1 and the primary are cut off from the store and from i1.
+    for (const std::string name : {"u0", "u1"}) {
+      m_cluster->Find(name)->store.SetDown(true);
+      m_cluster->Find(name)->partition = 1;
+    }
+    m_cluster->RunFor(absl::Seconds(1));
+    if (returns) {
+      m_cluster->m_table.ReturnTo(copy);
+    }
+    m_cluster->At(1).store.SetDown(false);
+    m_cluster->At(1).isolated = false;
+    m_cluster->At(1).unreachable.insert("g0-db1");
+    m_cluster->RunFor(absl::Seconds(20));
+    CHECK(m_cluster->Find("u0")->Manager().UsablePrimary("g0") == "g0-db1");
+    CHECK(m_cluster->wrong_acknowledgements == 0);
+  }
+}
+
 // A group whose last target is answered late, as to an instance that is
 // suspended while it asks.
 class LateStatuses : public GroupAccess {
