gateway: Compare the rows of members within one era only

The review of the fix found that a change could end before a lease that was extended by unanimity: whether an unresponsive member knows another one was read from versions of two eras, or from a row that had been removed, because a member carried the version at which it had joined into the next era, and after its removal even into the same one (a regression).

A row of a member that left hid its row of a later run. The members that share connections and quotas dropped if the store could not be read or returned twice; those of the era before stay until 1.5 s after, and the quotas use them, too.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -93,8 +93,19 @@
 // An instance counts itself even before it has read its own member row.
 constexpr size_t kMinMembers = 1;
 
-bool IsPossibleVersion(uint64_t version) {
-  return EraOf(version) <= kMaxEra;
+// True if the member that is gone knew `other`, a present member. Versions of
+// two eras say nothing about each other, so that the rows of its own era
+// decide.
+bool KnewMember(const DepartedMember& member,
+                const InstanceId& other_id,
+                const MemberRow& other) {
+  if (member.era_members == nullptr) {
+    return other.joined < member.row.row_version;
+  }
+  const auto known = member.era_members->find(other_id);
+  return known != member.era_members->end() &&
+         known->second.peer_address == other.peer_address &&
+         known->second.joined < member.row.row_version;
 }
 
 }  // namespace
@@ -281,13 +292,11 @@
   MemberRow row{m_settings.incarnation, m_settings.peer_address, 0, 0,
                 m_settings.data_centre, m_settings.capacity};
   uint64_t existing_version = 0;
-  const MemberRow* known = m_view.EarlierOwnRow();
   if (existing != m_view.Members().end()) {
     existing_version = existing->second.row_version;
-    known = &existing->second;
-  }
-  if (known != nullptr && known->peer_address == m_settings.peer_address) {
-    row.joined = known->joined;
+    if (existing->second.peer_address == m_settings.peer_address) {
+      row.joined = existing->second.joined;
+    }
   }
   RowTransaction transaction{
       kTable, {{key, "", existing_version, false}}, {}, {}};
@@ -371,10 +380,17 @@
   }
   OnEra(EraOf(ValueOf(polled).version));
   if (EraOf(ValueOf(polled).version) < m_view.Era()) {
-    // Another instance has not read the present era yet.
+    // Another instance has not read the present era yet, or the store has not
+    // reached the era that a peer named.
+    if (ValueOf(polled).as_of > m_era_named_at) {
+      LOG(WARNING) << "event=era_not_reached named=" << m_view.Era()
+                   << " read=" << EraOf(ValueOf(polled).version);
+      BeginEra(EraOf(ValueOf(polled).version));
+    }
     SchedulePoll(kPollRetryDelay);
     return;
   }
+  m_era_named_at = absl::InfiniteFuture();
   if (ValueOf(polled).version < m_view.Version()) {
     LOG(WARNING) << "event=store_version_decreased known=" << m_view.Version()
                  << " read=" << ValueOf(polled).version
@@ -403,9 +419,20 @@
 }
 
 void LeadershipManager::OnEra(uint64_t era) {
-  if (era <= m_view.Era()) {
-    return;
+  if (era > m_view.Era()) {
+    BeginEra(era);
+  }
+}
+
+void LeadershipManager::OnEraOfPeer(uint64_t era) {
+  if (era > m_view.Era() && era <= kMaxEra) {
+    BeginEra(era);
+    m_era_named_at = m_loop->Now();
   }
+}
+
+void LeadershipManager::BeginEra(uint64_t era) {
+  m_era_named_at = absl::InfiniteFuture();
   const absl::Time now = m_loop->Now();
   const bool first = !m_table_loaded && m_view.Version() == 0;
   const bool lease_valid = m_view.LeaseValid(now);
@@ -419,6 +446,7 @@
   }
   const uint64_t previous = m_view.Era();
   const uint64_t version = m_view.Version();
+  m_earlier_sharing_members = SharingMembers();
   m_view.BeginEra(era, now);
   m_first_leader.Reset();
   m_promotions->DiscardUnsent();
@@ -492,9 +520,7 @@
 }
 
 VouchResponse LeadershipManager::Vouch(const VouchQuery& query) {
-  if (IsPossibleVersion(query.leaders_version)) {
-    OnEra(EraOf(query.leaders_version));
-  }
+  OnEraOfPeer(EraOf(query.leaders_version));
   if (!query.announced.empty()) {
     RowChanges announced;
     announced.rows = query.announced;
@@ -522,25 +548,28 @@
   }
 }
 
+bool LeadershipManager::MembersRegisterAgain() const {
+  return LeaseReturnsSoon() ||
+         (m_eras_begun > 0 && m_view.EraReadAt() == absl::InfinitePast());
+}
+
 std::map<InstanceId, MemberRow> LeadershipManager::SharingMembers() const {
   std::map<InstanceId, MemberRow> members = m_view.Members();
-  if (LeaseReturnsSoon()) {
-    for (const auto& [id, departed] : m_view.Departed()) {
-      if (departed.seen == m_era_begun_at) {
-        members.emplace(id, departed.row);
-      }
-    }
+  if (MembersRegisterAgain()) {
+    members.insert(m_earlier_sharing_members.begin(),
+                   m_earlier_sharing_members.end());
   }
   return members;
 }
 
 uint64_t LeadershipManager::SharingRevision() const {
-  return 2 * m_view.MembersRevision() + (LeaseReturnsSoon() ? 1 : 0);
+  return 2 * m_view.MembersRevision() + (MembersRegisterAgain() ? 1 : 0);
 }
 
 size_t LeadershipManager::MemberCount() const {
-  return std::max(kMinMembers, LeaseReturnsSoon() ? SharingMembers().size()
-                                                  : m_view.Members().size());
+  return std::max(kMinMembers, MembersRegisterAgain()
+                                   ? SharingMembers().size()
+                                   : m_view.Members().size());
 }
 
 std::optional<TargetId> LeadershipManager::UsablePrimary(
@@ -1177,10 +1206,13 @@
       missing.empty() && m_view.Version() >= change->row_version;
   absl::Time expiry = m_view.Leader(group).change_seen;
   for (const InstanceId& id : missing) {
-    expiry =
-        std::max(expiry, EndOfLeaseRenewals(group, change, id,
-                                            m_view.Members().at(id).row_version,
-                                            missing));
+    const uint64_t row_version = m_view.Members().at(id).row_version;
+    expiry = std::max(
+        expiry, EndOfLeaseRenewals(
+                    group, change, id, missing,
+                    [row_version](const InstanceId&, const MemberRow& other) {
+                      return other.joined < row_version;
+                    }));
   }
   expiry += kLeaderLease + kLeaseMargin;
   if (all_confirmed) {
@@ -1220,10 +1252,13 @@
   for (const auto& [id, departed] : m_view.Departed()) {
     if (!m_view.HasConfirmed(id, departed.row.incarnation, group,
                              change->epoch)) {
-      renewals_end =
-          std::max({renewals_end, departed.seen,
-                    EndOfLeaseRenewals(group, change, id,
-                                       departed.row.row_version, missing)});
+      renewals_end = std::max(
+          {renewals_end, departed.seen,
+           EndOfLeaseRenewals(group, change, id, missing,
+                              [&member = departed](const InstanceId& other_id,
+                                                   const MemberRow& other) {
+                                return KnewMember(member, other_id, other);
+                              })});
     }
   }
   return renewals_end + kLeaderLease + kLeaseMargin;
@@ -1233,23 +1268,22 @@
     const GroupName& group,
     PrimaryChange* change,
     const InstanceId& unresponsive,
-    uint64_t unresponsive_row_version,
-    const std::vector<InstanceId>& missing) const {
+    const std::vector<InstanceId>& missing,
+    const std::function<bool(const InstanceId&, const MemberRow&)>& known_to_it)
+    const {
   // Without the store, an unresponsive member extends its lease if all members
   // that it knows agree. It knows those whose rows were in the table before its
   // own. A member that has confirmed the change no longer agrees.
   const absl::Time change_seen = m_view.Leader(group).change_seen;
   const auto own = m_view.Members().find(m_settings.self);
   if (unresponsive == m_settings.self ||
-      (own != m_view.Members().end() &&
-       own->second.joined < unresponsive_row_version)) {
+      (own != m_view.Members().end() && known_to_it(own->first, own->second))) {
     return change_seen;
   }
   for (const auto& [id, member] : m_view.Members()) {
     const bool confirmed =
         std::find(missing.begin(), missing.end(), id) == missing.end();
-    if (confirmed && id != m_settings.self &&
-        member.joined < unresponsive_row_version) {
+    if (confirmed && id != m_settings.self && known_to_it(id, member)) {
       return change->unanimity_impossible_since
           .emplace(unresponsive, m_loop->Now())
           .first->second;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -77,9 +77,10 @@
   bool LeaseValid() const { return m_view.LeaseValid(m_loop->Now()); }
   const LeadershipView& View() const { return m_view; }
   const InstanceId& Self() const { return m_settings.self; }
-  // The instances that share the targets' connections: the members and, shortly
-  // after a new era began, those of the era before that have not registered
-  // again yet. Otherwise the first to register would take the share of all.
+  // The instances that share the targets' connections and the quotas: the
+  // members and, shortly after a new era began, those of the era before that
+  // have not registered again yet. Otherwise the first to register would take
+  // the shares of all.
   std::map<InstanceId, MemberRow> SharingMembers() const;
   // Changes whenever SharingMembers() changes.
   uint64_t SharingRevision() const;
@@ -111,6 +112,12 @@
   // so that it must be written again. Other instances take this instance to
   // know only the members whose rows are older than its own.
   bool OwnRowNeedsRewrite() const;
+  // A peer has read a later era. Ends the present one, too, until a later
+  // reading shows that the store has not reached the peer's.
+  void OnEraOfPeer(uint64_t era);
+  void BeginEra(uint64_t era);
+  // True while members of the era before may not have registered again.
+  bool MembersRegisterAgain() const;
   // Deletes rows of earlier eras once nothing needs them any more.
   void DeleteEarlierRows();
   void Tick();
@@ -156,11 +163,14 @@
   void AwaitConfirmations(const GroupName& group, uint64_t attempt);
   // Returns the time after which an unresponsive member can no longer renew its
   // lease. `missing` lists all members that have not confirmed the change.
-  absl::Time EndOfLeaseRenewals(const GroupName& group,
-                                PrimaryChange* change,
-                                const InstanceId& unresponsive,
-                                uint64_t unresponsive_row_version,
-                                const std::vector<InstanceId>& missing) const;
+  // `known_to_it` tells whether the unresponsive member knows the given one.
+  absl::Time EndOfLeaseRenewals(
+      const GroupName& group,
+      PrimaryChange* change,
+      const InstanceId& unresponsive,
+      const std::vector<InstanceId>& missing,
+      const std::function<bool(const InstanceId&, const MemberRow&)>&
+          known_to_it) const;
   // Returns the time at which the leases of members without rows have expired.
   absl::Time EndOfDepartedLeases(const GroupName& group,
                                  PrimaryChange* change,
@@ -263,6 +273,10 @@
   absl::Time m_last_without_lease = absl::InfinitePast();
   uint64_t m_eras_begun = 0;
   absl::Time m_era_begun_at = absl::InfinitePast();
+  // When a peer named the present era; infinite future once it was read.
+  absl::Time m_era_named_at = absl::InfiniteFuture();
+  // SharingMembers() when the present era began.
+  std::map<InstanceId, MemberRow> m_earlier_sharing_members;
   bool m_deleting_earlier_rows = false;
   uint64_t m_attempts = 0;
   uint64_t m_promotions_sent = 0;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -110,8 +110,14 @@
   for (auto& [group, earlier] : m_earlier_leaders) {
     earlier.proven = now < earlier.lease_end;
   }
-  for (const auto& [id, member] : m_members) {
+  const auto era_members =
+      std::make_shared<const std::map<InstanceId, MemberRow>>(m_members);
+  for (const auto& [id, member] : *era_members) {
     RemoveMember(id, member, now);
+    const auto departed = m_departed.find(id);
+    if (departed != m_departed.end()) {
+      departed->second.era_members = era_members;
+    }
   }
   m_era = era;
   m_era_read_at = absl::InfinitePast();
@@ -135,15 +141,10 @@
   return found == m_earlier_leaders.end() ? nullptr : &found->second;
 }
 
-const MemberRow* LeadershipView::EarlierOwnRow() const {
-  const auto found = m_departed.find(m_self);
-  return found == m_departed.end() ? nullptr : &found->second.row;
-}
-
 void LeadershipView::ApplyEarlierRows(const std::vector<StoredRow>& rows,
                                       absl::Time now) {
-  std::set<InstanceId> left;
-  std::map<InstanceId, MemberRow> members;
+  std::set<std::pair<InstanceId, uint64_t>> left;  // With their incarnations.
+  auto members = std::make_shared<std::map<InstanceId, MemberRow>>();
   for (const StoredRow& row : rows) {
     const std::pair stored(row.key, EraOf(row.version));
     if (row.deleted) {
@@ -172,18 +173,19 @@
       if (!Ok(parsed) || !IsName(key)) {
         continue;
       }
-      MemberRow& member = members[std::string(key)];
+      MemberRow& member = (*members)[std::string(key)];
       if (ValueOf(parsed).row_version > member.row_version) {
         member = ValueOf(parsed);
       }
     } else if (absl::ConsumePrefix(&key, kConfirmationPrefix) &&
                reader.FlagOr("left", false)) {
-      left.insert(std::string(key));
+      left.emplace(std::string(key),
+                   reader.NumberOr("incarnation", 0, 0, kMaxCounter));
     }
   }
-  for (const auto& [id, member] : members) {
-    if (!left.contains(id) && !m_members.contains(id)) {
-      m_departed.try_emplace(id, DepartedMember{member, now});
+  for (const auto& [id, member] : *members) {
+    if (!left.contains({id, member.incarnation}) && !m_members.contains(id)) {
+      m_departed.try_emplace(id, DepartedMember{member, now, members});
     }
   }
 }
@@ -228,7 +230,7 @@
                                   absl::Time now) {
   const auto confirmation = m_confirmations.find(id);
   if (confirmation == m_confirmations.end() || !confirmation->second.left) {
-    m_departed[id] = {row, now};
+    m_departed[id] = {row, now, nullptr};
   }
 }
 
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -111,6 +112,9 @@
 struct DepartedMember {
   MemberRow row;
   absl::Time seen;  // When the removal was read.
+  // If `row` is of an earlier era: the members of that era, as they were read
+  // together with it. Null otherwise.
+  std::shared_ptr<const std::map<InstanceId, MemberRow>> era_members = nullptr;
 };
 
 // The lock on promotions; its row key is "duty".
@@ -158,8 +162,6 @@
   absl::Time EraReadAt() const { return m_era_read_at; }
   // Null if no earlier leader of the group is known.
   const EarlierLeader* Earlier(const GroupName& group) const;
-  // The member row of this instance's name in an earlier era, or null.
-  const MemberRow* EarlierOwnRow() const;
   // The rows of earlier eras that are still stored, by key and era.
   const std::set<std::pair<std::string, uint64_t>>& EarlierRows() const {
     return m_earlier_rows;
--- a/Source/gateway/quota/member_fleet_view.cc
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -19,15 +19,16 @@
 }
 
 uint64_t MemberFleetView::MembersRevision() const {
-  return m_leadership->View().MembersRevision();
+  return m_leadership->SharingRevision();
 }
 
 std::vector<FleetMember> MemberFleetView::Members() const {
-  return FleetMembers(m_leadership->View().Members());
+  return FleetMembers(m_leadership->SharingMembers());
 }
 
 std::string MemberFleetView::PeerAddress(const InstanceId& id) const {
-  const auto& members = m_leadership->View().Members();
+  const std::map<InstanceId, MemberRow> members =
+      m_leadership->SharingMembers();
   const auto found = members.find(id);
   return found == members.end() ? "" : found->second.peer_address;
 }
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -13,6 +13,7 @@
 
 #include "Source/gateway/era_scoped_row_store.h"
 #include "Source/gateway/first_leader.h"
+#include "Source/gateway/quota/member_fleet_view.h"
 #include "Source/gateway/store_version.h"
 #include "Tests/gateway/leadership_cluster.h"
 #include "Tests/gateway/seed_range.h"
@@ -343,6 +344,25 @@
   CHECK(m_cluster->At(0).Manager().MemberCount() == 5);
 }
 
+// With partial views of the members no coordinator of a quota had its share
+// until a lease after the last of them, and operations within the quota were
+// refused.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "MemberFleetView_MembersRegisterAgain_ViewDoesNotChange") {
+  Start(6);
+  m_cluster->RunFor(absl::Seconds(1));
+  const FakeTable copy = m_cluster->m_table;
+  const MemberFleetView fleet(&m_cluster->At(0).Manager());
+  REQUIRE(fleet.Members().size() == 6);
+  m_cluster->m_table.ReturnTo(copy);
+  for (int step = 0; step < 400; ++step) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+    CHECK(fleet.Members().size() == 6);
+    CHECK(fleet.PeerAddress("i5") == "i5");
+  }
+  CHECK(m_cluster->At(0).Manager().View().Era() == 1);
+}
+
 // Rows of earlier eras would add up with each return.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
@@ -575,9 +595,7 @@
                                            absl::Time) const override {
     return std::nullopt;
   }
-  void Quiesce(const GroupName&,
-               bool,
-               std::function<void()> done) override {
+  void Quiesce(const GroupName&, bool, std::function<void()> done) override {
     done();
   }
   void OnLeaderChanged(const GroupName&) override {}
