--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -513,9 +513,7 @@
                                            absl::Time) const override {
     return std::nullopt;
   }
-  void Quiesce(const GroupName&,
-               bool,
-               std::function<void()> done) override {
+  void Quiesce(const GroupName&, bool, std::function<void()> done) override {
     done();
   }
   void OnLeaderChanged(const GroupName&) override {}
@@ -607,11 +605,14 @@
       LeadershipCluster::Instance& instance = m_cluster->At(index);
       instance.store.SetDown(false);
       instance.isolated = false;
+      instance.partition = 0;
       instance.unreachable.clear();
     }
     for (auto& [id, database] : m_cluster->m_databases) {
       database.alive = true;
+      database.draining = false;
     }
+    m_cluster->sync_replicas = 0;
     m_cluster->order_fate = nullptr;
     m_cluster->RunFor(absl::Seconds(25));
     CHECK(m_cluster->wrong_acknowledgements == 0);
@@ -627,11 +628,56 @@
  private:
   uint32_t Below(uint32_t limit) { return m_random() % limit; }
 
+  // Cuts a site with some instances and two targets off from the store and the
+  // other instances, or ends the cut.
+  void CutSite() {
+    const bool cut = Below(3) > 0;
+    for (size_t index = 0; index < 4; ++index) {
+      LeadershipCluster::Instance& instance = m_cluster->At(index);
+      const bool inside = cut && Below(2) == 0;
+      instance.partition = inside ? 1 : 0;
+      instance.store.SetDown(inside);
+      instance.unreachable.clear();
+      for (const std::string target :
+           {"g0-db0", "g0-db1", "g1-db0", "g1-db1"}) {
+        const bool target_inside = target == "g0-db0" || target == "g1-db1";
+        if (cut && inside != target_inside) {
+          instance.unreachable.insert(target);
+        }
+      }
+    }
+  }
+
   void Disturb() {
     const std::string name = absl::StrCat("i", Below(4));
     LeadershipCluster::Instance& instance = *m_cluster->Find(name);
     const TargetId target = absl::StrCat("g", Below(2), "-db", Below(3));
-    switch (Below(10)) {
+    switch (Below(16)) {
+      case 10:
+      case 11:
+        CutSite();
+        m_cluster->RunFor(absl::Milliseconds(Below(4000)));
+        break;
+      case 12:
+        m_cluster->m_databases[target].draining = Below(2) == 0;
+        break;
+      case 13:
+        // An orderly stop, followed by a start under the same name.
+        instance.Manager().Stop([]() {});
+        m_cluster->RunFor(absl::Milliseconds(Below(1200)));
+        m_cluster->AddInstance(name);
+        break;
+      case 14: {
+        const FakeTable copy = m_copies.back();
+        m_cluster->ReturnStore(copy, absl::Milliseconds(Below(300)));
+        m_cluster->RunFor(absl::Milliseconds(Below(1500)));
+        const FakeTable second = Below(2) == 0 ? copy : m_cluster->m_table;
+        m_cluster->ReturnStore(second, absl::Milliseconds(Below(300)));
+        break;
+      }
+      case 15:
+        m_cluster->sync_replicas = Below(2);
+        break;
       case 0:
       case 1: {
         const size_t age = std::min<size_t>(m_copies.size(), 1 + Below(12));
