tests: Find what instances remember across a return of the store

Taken out one at a time, no test failed for these rules; now one case does for each: - BeginEra, proven only with a valid lease: LeaseHadEnded_RememberedLeader... - BeginEra, evaluated again at each return: SecondAfterLease_ProvenLeader... - Vouch, confirmations of the present era: ConfirmationOfEarlierEra_DoesNotCount - OnEra, confirmations cleared: InstanceRegisters_HasConfirmedNothing - qualified fencing tokens: ManyVersionsLost_TokensDoNotDecrease WriteMemberRow's joined (MembersRegister_KeepWhenTheyJoined) was found by InstanceCutOff_LosesItsLease as well.

--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -12,7 +12,9 @@
 #include "Source/gateway/era_scoped_row_store.h"
 #include "Tests/gateway/leadership_cluster.h"
 #include "Tests/gateway/seed_range.h"
+#include "absl/strings/match.h"
 #include "doctest/doctest.h"
+#include "nlohmann/json.hpp"
 
 namespace heatherwick {
 namespace {
@@ -55,6 +57,23 @@
     }
   }
 
+  void CutOff(size_t instance, bool cut_off) {
+    m_cluster->At(instance).store.SetDown(cut_off);
+    m_cluster->At(instance).isolated = cut_off;
+  }
+
+  // Replaces g0-db0 while `instance` is cut off.
+  void ReplacePrimaryWithout(size_t instance) {
+    SetReachable("g0-db0", false);
+    m_cluster->RunFor(absl::Seconds(8));
+    for (size_t index = 0; index < 4; ++index) {
+      if (index != instance) {
+        REQUIRE(m_cluster->At(index).Manager().UsablePrimary("g0") == "g0-db1");
+      }
+    }
+    SetReachable("g0-db0", true);
+  }
+
   std::unique_ptr<LeadershipCluster> m_cluster;
   FakeTable m_empty_table;
 };
@@ -171,6 +190,22 @@
   CHECK(m_cluster->AllUse("g1", "g1-db1"));
 }
 
+// The store gave out so many versions since the copy that the numbers of the
+// new era are all lower than that of the last order.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_ManyVersionsLost_TokensDoNotDecrease") {
+  Start(3, 2);
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->m_table.version += 100000;
+  ReplaceFirstPrimary();
+  m_cluster->m_table.ReturnTo(copy);
+  m_cluster->RunFor(kFleetRecoveryTime);
+  SetReachable("g1-db0", false);
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.size() == 2);
+  CHECK(m_cluster->AllUse("g1", "g1-db1"));
+}
+
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_TwiceWithinASecond_OnePrimaryIsUsed") {
   Start(3);
@@ -230,6 +265,132 @@
   CHECK(found);
 }
 
+// A leader that was usable only until a lease ended may have been replaced
+// since by instances that no longer remember it.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_LeaseHadEnded_RememberedLeaderIsNotProven") {
+  Start(4);
+  const FakeTable copy = m_cluster->m_table;
+  CutOff(3, true);
+  ReplacePrimaryWithout(3);
+  m_cluster->m_table.ReturnTo(copy);
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    m_cluster->AddInstance(name);
+  }
+  CutOff(3, false);
+  m_cluster->RunFor(kRecoveryWithoutMemory);
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// A leader that was proven at the first return may have been replaced before
+// the second one.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_SecondAfterLease_ProvenLeaderIsNotProvenAgain") {
+  Start(4);
+  m_cluster->RunFor(absl::Seconds(2));
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->m_table.ReturnTo(copy);
+  // i3 learns of the first new era, but not of its leaders.
+  while (m_cluster->At(3).Manager().LeaseValid()) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(1));
+  }
+  CutOff(3, true);
+  m_cluster->RunFor(kFleetRecoveryTime);
+  ReplacePrimaryWithout(3);
+  m_cluster->m_table.ReturnTo(copy);
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    m_cluster->AddInstance(name);
+  }
+  CutOff(3, false);
+  m_cluster->RunFor(kRecoveryWithoutMemory);
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// Epochs begin anew, so that a confirmation of the era before would stand for a
+// later change, and its sender's lease would not be waited for.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_ConfirmationOfEarlierEra_DoesNotCount") {
+  Start(4);
+  const FakeTable copy = m_cluster->m_table;
+  m_cluster->m_table.ReturnTo(copy);
+  m_cluster->RunFor(kFleetRecoveryTime);
+  REQUIRE(m_cluster->AllUse("g0", "g0-db0"));
+  constexpr uint64_t kIncarnation = 4;  // Of i3, the fourth that was started.
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).Manager().Vouch(
+        {"i3", kIncarnation, QualifyVersion(0, 9), {{"g0", 99}}, {}});
+  }
+  CutOff(3, true);
+  SetReachable("g0-db0", false);
+  m_cluster->At(3).unreachable.clear();
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db1");
+}
+
+// An instance that registers with confirmations of the era before would have
+// confirmed changes that begin later, as epochs begin anew.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_InstanceRegisters_HasConfirmedNothing") {
+  Start(4);
+  const FakeTable copy = m_cluster->m_table;
+  ReplaceFirstPrimary();
+  SetReachable("g0-db1", false);
+  m_cluster->RunFor(absl::Seconds(6));
+  REQUIRE(m_cluster->promoted.size() == 2);
+  const TargetId primary = m_cluster->promoted.back();
+  REQUIRE(m_cluster->AllUse("g0", primary));
+  SetReachable("g0-db1", true);
+  CutOff(3, true);
+  m_cluster->RunFor(absl::Seconds(4));
+  // Only i3 remembers the changes. It leaves the choice to the others.
+  m_cluster->m_table.ReturnTo(copy);
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    m_cluster->AddInstance(name);
+  }
+  CutOff(3, false);
+  m_cluster->At(3).unreachable = {"g0-db0", "g0-db1", "g0-db2"};
+  while (!m_cluster->At(0).Manager().UsablePrimary("g0")) {
+    m_cluster->RunFor(absl::Milliseconds(50));
+  }
+  m_cluster->At(3).unreachable.clear();
+  m_cluster->RunFor(absl::Seconds(3));
+  REQUIRE(m_cluster->AllUse("g0", primary));
+  // The targets follow the primary, so that only the confirmations are waited
+  // for.
+  const TargetStatus status = m_cluster->m_databases[primary].status;
+  for (auto& [id, database] : m_cluster->m_databases) {
+    database.status = status;
+    database.status.primary = id == primary;
+  }
+  CutOff(3, true);
+  SetReachable(primary, false);
+  m_cluster->At(3).unreachable.clear();
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->promoted.size() == 3);
+}
+
+// Members that register again would seem to have joined after each other, in
+// another order than the one in which they came to know each other.
+TEST_CASE_FIXTURE(StoreReturnFixture,
+                  "StoreReturn_MembersRegister_KeepWhenTheyJoined") {
+  Start(3);
+  m_cluster->m_table.ReturnTo(FakeTable(m_cluster->m_table));
+  m_cluster->RunFor(kFleetRecoveryTime);
+  size_t members = 0;
+  for (const auto& [key, row] : m_cluster->m_table.rows) {
+    if (absl::StartsWith(key, EraScopedRowStore::StoredKey(1, "member/"))) {
+      ++members;
+      const auto joined = nlohmann::json::parse(row.value).at("joined");
+      CHECK_MESSAGE(EraOf(joined.get<uint64_t>()) == 0, key);
+    }
+  }
+  CHECK(members == 3);
+}
+
 // Rows of earlier eras would add up with each return.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
