tests: Hold the answers of a round while an era begins

Without the check of the round's era in PeerLeases::OnAnswer no test failed: EraBeginsDuringRound begins the era before the round.

--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -25,6 +25,10 @@
              std::function<void(Result<VouchResponse>)> done) override {
     ++calls;
     last_query = query;
+    if (hold_answers) {
+      held.push_back(std::move(done));
+      return;
+    }
     done(answers.at(address));
   }
 
@@ -39,6 +43,8 @@
              std::function<void(Result<std::string>)>) override {}
 
   std::map<std::string, Result<VouchResponse>> answers;
+  bool hold_answers = false;
+  std::vector<std::function<void(Result<VouchResponse>)>> held;
   int calls = 0;
   VouchQuery last_query;
 };
@@ -157,6 +163,36 @@
   CHECK_FALSE(ValidIn(absl::ZeroDuration()));
 }
 
+// The members that were asked are those of the era before. One that has joined
+// in the new era was not asked, and may carry out a change.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_AnswersOfRoundBeforeTheEra_DoNotExtend") {
+  m_loop.RunFor(absl::Seconds(1));
+  const absl::Time read_at = m_loop.Now();
+  m_loop.RunFor(absl::Milliseconds(100));
+  m_peers.hold_answers = true;
+  m_leases.Tick();
+  REQUIRE(m_peers.held.size() == 2);
+  m_view.BeginEra(1, m_loop.Now());
+  // Another instance read the new era before the round.
+  RowChanges changes;
+  changes.snapshot = true;
+  uint64_t number = 2;
+  for (const char* id : {"self", "p1", "p2", "p3"}) {
+    changes.rows.push_back({LeadershipView::MemberKey(id),
+                            LeadershipView::EncodeMember({7, id, 0}),
+                            QualifyVersion(1, ++number), false});
+  }
+  changes.version = QualifyVersion(1, number);
+  changes.as_of = read_at;
+  m_view.Apply(changes, m_loop.Now());
+  REQUIRE(ValidIn(absl::Milliseconds(1899)));
+  for (const auto& answer : m_peers.held) {
+    answer(NotRunning());
+  }
+  CHECK_FALSE(ValidIn(absl::Milliseconds(1901)));
+}
+
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_PeerDoesNotKnowMember_DoesNotExtend") {
   VouchResponse answer = ReadOfAge(absl::ZeroDuration());
