tests: Find relays of another era of the store

No test failed without other_era, OnFollow's or UpdateCache's check of the era, taken out one at a time. Each of the three new cases fails without its check. gateway_test: 240 cases pass with them.

--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -225,6 +225,75 @@
   }
 }
 
+// A source that has read the era before only knows none of the new rows, and
+// its answer would pass for a current one.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_SourceIsInEarlierEra_IsNotUsed") {
+  m_table.ReturnTo(FakeTable(m_table));
+  m_loop.RunFor(absl::Seconds(5));
+  alter_response = [](FollowResponse* response) {
+    response->era = 0;
+    response->changes.rows.clear();
+  };
+  Write("new", "z");
+  m_loop.RunFor(absl::Seconds(5));
+  for (const auto& [name, instance] : m_instances) {
+    CAPTURE(name);
+    CHECK(instance->rows["new"] == "z");
+  }
+}
+
+// A follower of a later era would wait in vain for rows that this instance does
+// not know.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_FollowerIsInLaterEra_IsRefusedAtOnce") {
+  std::optional<Result<FollowResponse>> answer;
+  m_instances["a"]->shared.OnFollow(
+      {"t", QualifyVersion(1, 1), kWait, true},
+      [&answer](Result<FollowResponse> sent) { answer = std::move(sent); });
+  REQUIRE(answer);
+  REQUIRE_FALSE(Ok(*answer));
+  CHECK(ErrorOf(*answer).kind == ErrorKind::kNotHome);
+}
+
+// An answer of the era before must not add a row, which followers would get as
+// one of the present era.
+TEST_CASE_FIXTURE(SharedStoreFixture,
+                  "SharedRowStore_AnswerOfEarlierEraIsLate_IsNotPassedOn") {
+  // Reads the store itself, and only when this test does.
+  FakeRowStore direct(&m_loop, &m_table);
+  const auto members = std::make_shared<const SharedRowStore::Members>(
+      SharedRowStore::Members{{"alone", {"alone", "dc0", 1}}});
+  SharedRowStore shared("alone", &m_loop, &direct, nullptr,
+                        [members]() { return members; });
+  shared.ReadTable("t", kTimeout, [](const Result<RowChanges>&) {});
+  m_loop.RunFor(absl::Seconds(2));
+  const FakeTable copy = m_table;
+  direct.SetPollDelay(absl::Milliseconds(300));
+  shared.PollChanges("t", m_table.version, kWait, kTimeout,
+                     [](const Result<RowChanges>&) {});
+  m_loop.RunFor(absl::Milliseconds(100));
+  Write("lost", "x");
+  m_loop.RunFor(absl::Milliseconds(50));
+  m_table.ReturnTo(copy);
+  bool read = false;
+  shared.ReadTable("t", kTimeout, [&read](const Result<RowChanges>& rows) {
+    read = Ok(rows) && EraOf(ValueOf(rows).version) == 1;
+  });
+  m_loop.RunFor(absl::Milliseconds(100));
+  REQUIRE(read);
+  m_loop.RunFor(absl::Seconds(1));
+  std::optional<Result<FollowResponse>> answer;
+  shared.OnFollow(
+      {"t", QualifyVersion(1, 0), absl::ZeroDuration(), false},
+      [&answer](Result<FollowResponse> sent) { answer = std::move(sent); });
+  REQUIRE(answer);
+  REQUIRE(Ok(*answer));
+  for (const StoredRow& row : ValueOf(*answer).changes.rows) {
+    CHECK(row.key != "lost");
+  }
+}
+
 TEST_CASE_FIXTURE(SharedStoreFixture,
                   "SharedRowStore_NoFaults_OneInstanceReads") {
   const int before = Polls();
