tests: Find rows and members of earlier eras in the view

No test failed without ApplyRow's check of the era. Without keeping members as departed in BeginEra, only GrpcPeerTransport_OversizedLendersReply failed, once, on a busy machine, and not when repeated. Each new case fails without its rule. gateway_test: 240 cases pass with them.

--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "Source/gateway/store_version.h"
 #include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
 
@@ -48,6 +49,31 @@
   CHECK_FALSE(m_view.LeaseValid(m_now));
 }
 
+// A peer of the era before announces rows that are no longer in force.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_AnnouncedRowOfOtherEra_IsIgnored") {
+  m_view.BeginEra(2, m_now);
+  for (const uint64_t era : {1, 3}) {
+    CAPTURE(era);
+    m_view.Apply({{LeaderRow(4, LeaderPhase::kOpen, QualifyVersion(era, 9))},
+                  0,
+                  false,
+                  absl::InfinitePast()},
+                 m_now);
+    CHECK(m_view.Leader("g").phase == LeaderPhase::kUnknown);
+  }
+}
+
+// Members of the era before may have leases, which a change waits for.
+TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_EraBegins_MembersHaveDeparted") {
+  m_view.Apply(Rows({OwnRow(7)}), m_now);
+  m_view.BeginEra(1, m_now);
+  CHECK(m_view.Members().empty());
+  CHECK(m_view.Departed().contains("self"));
+  REQUIRE(m_view.EarlierOwnRow() != nullptr);
+  CHECK(m_view.EarlierOwnRow()->joined == 3);
+}
+
 // The logs of incident 38 did not show by what right a statement was sent.
 TEST_CASE_FIXTURE(ViewFixture, "LeadershipView_LeaseExtended_NamesItsSource") {
   CHECK(m_view.Source() == LeaseSource::kNone);
