tests: Answer late from a store whose clock is ahead

Without resetting the clock's origin at a new era no test failed, as the answer in ClockIsAheadInNewEra takes less than 1 ms.

--- a/Tests/platform/http_row_store_test.cc
+++ b/Tests/platform/http_row_store_test.cc
@@ -13,6 +13,7 @@
 #include "Tests/platform/platform_fakes.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/beast/core.hpp"
@@ -65,6 +66,7 @@
     unsigned status = 200;
     std::string era;
     std::string body;
+    absl::Duration delay = absl::ZeroDuration();
   };
 
   explicit ScriptedStore(std::vector<Answer> answers)
@@ -95,6 +97,7 @@
         const Answer& answer = m_answers.at(m_requests.size());
         m_requests.push_back(
             absl::StrCat(std::string(request.target()), request.body()));
+        absl::SleepFor(answer.delay);
         response.result(answer.status);
         if (!answer.era.empty()) {
           response.set("Store-Era", answer.era);
@@ -234,6 +237,21 @@
   CHECK(ValueOf(read).as_of - before < absl::Milliseconds(1));
 }
 
+// An answer that takes less than a millisecond, as in the test above, has the
+// same age whether or not the clock is taken for the one of the era before.
+TEST_CASE_FIXTURE(EraFixture,
+                  "HttpRowStore_LateAnswerOfNewEra_IsAsOldAsItsRequest") {
+  Start({{200, "1", Rows(7)},
+         {200, "2", R"({"rows":[],"hasMore":false,"nowMs":900000,"ver":7})",
+          absl::Milliseconds(300)}});
+  REQUIRE(Ok(Read()));
+  m_context.restart();
+  const absl::Time before = m_loop.Now();
+  const Result<RowChanges> read = Read();
+  REQUIRE(Ok(read));
+  CHECK(ValueOf(read).as_of - before < absl::Milliseconds(150));
+}
+
 TEST_CASE_FIXTURE(EraFixture, "HttpRowStore_VersionIsTooLarge_IsRejected") {
   Start({{200, "1", Rows(kMaxVersionNumber + 1)}});
   CHECK_FALSE(Ok(Read()));
