gateway: Take an era from a peer's answer as it is taken from its query

A wrong era in the answer of a peer stayed in force for good; in a query it did not. PeerLeases_EraThatTheStoreHasNotReached_InstancesServeAgain failed before and holds. The quotas look a peer's address up without a copy of all members.

--- a/Source/gateway/first_leader.cc
+++ b/Source/gateway/first_leader.cc
@@ -15,7 +15,7 @@
 
 // Between two attempts of the instance that acts first.
 constexpr absl::Duration kRetryDelay = absl::Milliseconds(300);
-// The first answer that the store gave in its present era may be read late.
+// For clocks of instances that run at slightly different speeds.
 constexpr absl::Duration kOrdersMargin = absl::Milliseconds(100);
 
 std::string Describe(const std::vector<TargetClaim>& claims) {
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -207,7 +207,7 @@
           peers,
           &m_view,
           [this](const RowChanges& changes) { ApplyRows(changes); },
-          [this](uint64_t era) { OnEra(era); }),
+          [this](uint64_t era) { OnEraOfPeer(era); }),
       m_first_leader(m_settings.self,
                      m_settings.incarnation,
                      loop,
@@ -562,6 +562,17 @@
   return members;
 }
 
+const MemberRow* LeadershipManager::SharingMember(const InstanceId& id) const {
+  const auto member = m_view.Members().find(id);
+  if (member != m_view.Members().end()) {
+    return &member->second;
+  }
+  const auto earlier = m_earlier_sharing_members.find(id);
+  return MembersRegisterAgain() && earlier != m_earlier_sharing_members.end()
+             ? &earlier->second
+             : nullptr;
+}
+
 uint64_t LeadershipManager::SharingRevision() const {
   return 2 * m_view.MembersRevision() + (MembersRegisterAgain() ? 1 : 0);
 }
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -82,6 +82,8 @@
   // have not registered again yet. Otherwise the first to register would take
   // the shares of all.
   std::map<InstanceId, MemberRow> SharingMembers() const;
+  // Null if the instance is none of SharingMembers().
+  const MemberRow* SharingMember(const InstanceId& id) const;
   // Changes whenever SharingMembers() changes.
   uint64_t SharingRevision() const;
   // Number of SharingMembers(); at least 1.
--- a/Source/gateway/quota/member_fleet_view.cc
+++ b/Source/gateway/quota/member_fleet_view.cc
@@ -27,10 +27,8 @@
 }
 
 std::string MemberFleetView::PeerAddress(const InstanceId& id) const {
-  const std::map<InstanceId, MemberRow> members =
-      m_leadership->SharingMembers();
-  const auto found = members.find(id);
-  return found == members.end() ? "" : found->second.peer_address;
+  const MemberRow* const member = m_leadership->SharingMember(id);
+  return member == nullptr ? "" : member->peer_address;
 }
 
 bool MemberFleetView::HasRowOfEarlierRun() const {
--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -202,10 +202,11 @@
   again.writes = {{"again", "y", 0, false}};
   (void)m_table.Apply(again);
   m_loop.RunFor(absl::Seconds(5));
-  for (const auto& [name, instance] : m_instances) {
-    CAPTURE(name);
-    CHECK(EraOf(instance->version) == 1);
-    CHECK(instance->rows["again"] == "y");
+  for (const auto& entry : m_instances) {
+    const Instance& instance = *entry.second;
+    CAPTURE(instance.id);
+    CHECK(EraOf(instance.version) == 1);
+    CHECK(instance.rows.at("again") == "y");
   }
 }
 
@@ -219,9 +220,10 @@
   write.writes = {{"new", "z", 0, false}};
   (void)m_table.Apply(write);
   m_loop.RunFor(absl::Seconds(5));
-  for (const auto& [name, instance] : m_instances) {
-    CAPTURE(name);
-    CHECK(instance->rows["new"] == "z");  // From the store.
+  for (const auto& entry : m_instances) {
+    const Instance& instance = *entry.second;
+    CAPTURE(instance.id);
+    CHECK(instance.rows.at("new") == "z");  // From the store.
   }
 }
 
@@ -237,9 +239,10 @@
   };
   Write("new", "z");
   m_loop.RunFor(absl::Seconds(5));
-  for (const auto& [name, instance] : m_instances) {
-    CAPTURE(name);
-    CHECK(instance->rows["new"] == "z");
+  for (const auto& entry : m_instances) {
+    const Instance& instance = *entry.second;
+    CAPTURE(instance.id);
+    CHECK(instance.rows.at("new") == "z");
   }
 }
 
@@ -265,7 +268,7 @@
   const auto members = std::make_shared<const SharedRowStore::Members>(
       SharedRowStore::Members{{"alone", {"alone", "dc0", 1}}});
   SharedRowStore shared("alone", &m_loop, &direct, nullptr,
-                        [members]() { return members; });
+                        [&members]() { return members; });
   shared.ReadTable("t", kTimeout, [](const Result<RowChanges>&) {});
   m_loop.RunFor(absl::Seconds(2));
   const FakeTable copy = m_table;
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -506,6 +506,25 @@
   CHECK(m_cluster->promoted.size() == 3);
 }
 
+// As above, with an instance that is told so by the answer of a peer.
+TEST_CASE_FIXTURE(
+    StoreReturnFixture,
+    "PeerLeases_EraThatTheStoreHasNotReached_InstancesServeAgain") {
+  Start(3);
+  m_cluster->At(0).store.SetDown(true);
+  m_cluster->At(1).store.SetDown(true);
+  VouchQuery query;
+  query.instance = "x";
+  query.leaders_version = QualifyVersion(7, 0);
+  m_cluster->At(0).Manager().Vouch(query);
+  m_cluster->RunFor(absl::Seconds(2));
+  REQUIRE(m_cluster->At(1).Manager().View().Era() == 7);
+  m_cluster->At(0).store.SetDown(false);
+  m_cluster->At(1).store.SetDown(false);
+  m_cluster->RunFor(absl::Seconds(30));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
 // Rows of earlier eras would add up with each return.
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "StoreReturn_RowsOfEarlierEras_AreDeletedInTheEnd") {
@@ -518,10 +537,11 @@
   m_cluster->m_table.ReturnTo(second_copy);
   m_cluster->RunFor(absl::Seconds(70));
   size_t rows = 0;
-  for (const auto& [key, row] : m_cluster->m_table.rows) {
+  for (const auto& entry : m_cluster->m_table.rows) {
+    const std::string& key = entry.first;
     const uint64_t era = EraScopedRowStore::ParseKey(key).second;
-    CHECK_MESSAGE((row.deleted || era == 2), key);
-    rows += !row.deleted && era == 2 ? 1 : 0;
+    CHECK_MESSAGE((entry.second.deleted || era == 2), key);
+    rows += !entry.second.deleted && era == 2 ? 1 : 0;
   }
   CHECK(rows > 3);
   CHECK(m_cluster->AllUse("g0", "g0-db0"));
