--- a/Tests/gateway/shared_row_store_test.cc
+++ b/Tests/gateway/shared_row_store_test.cc
@@ -265,7 +265,7 @@
                   "SharedRowStore_AnswerOfEarlierEraIsLate_IsNotPassedOn") {
   // Reads the store itself, and only when this test does.
   FakeRowStore direct(&m_loop, &m_table);
-  const auto members = std::make_shared<const SharedRowStore::Members>(
+  auto members = std::make_shared<const SharedRowStore::Members>(
       SharedRowStore::Members{{"alone", {"alone", "dc0", 1}}});
   SharedRowStore shared("alone", &m_loop, &direct, nullptr,
                         [&members]() { return members; });
