tests: Wait for the members before the check of sheet wait

The log of p1 shows why: it had adopted the sheet and knew no other member yet, and sheet wait waits for the instances that the asked one knows. The test asked for p2 before it waited for the three to know each other; the two lines change places, all checks stay.

--- a/Tests/process/client_commands.sh
+++ b/Tests/process/client_commands.sh
@@ -30,8 +30,9 @@
 all_instances_alive() { [ "$(client instances | grep -c ' alive ')" = 3 ]; }
 
 start_ready_cluster 1 3
-expect_output '^p2 .*in_force' sheet wait 1 --limit=10s
+# "sheet wait" waits for the instances that the asked one knows.
 wait_until 10 all_instances_alive
+expect_output '^p2 .*in_force' sheet wait 1 --limit=10s
 request=(--caller=shop --group=g1)
 expect_output '^g1 .*g1a .*primary' groups
 expect_output '^1 .*planner' sheet history
