--- a/Source/gateway/era_scoped_row_store.cc
+++ b/Source/gateway/era_scoped_row_store.cc
@@ -7,7 +7,7 @@
 
 #include "Source/gateway/store_version.h"
 #include "absl/strings/numbers.h"
-#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 
 namespace heatherwick {
 namespace {
@@ -52,8 +52,7 @@
   if (era == 0) {
     return std::string(key);
   }
-  return absl::StrCat(std::string(1, kEraMark), era, std::string(1, kEraEnd),
-                      key);
+  return absl::StrFormat("%c%d%c%s", kEraMark, era, kEraEnd, key);
 }
 
 std::pair<std::string, uint64_t> EraScopedRowStore::ParseKey(
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -17,9 +17,7 @@
 #include "Source/gateway/store_version.h"
 #include "Tests/gateway/leadership_cluster.h"
 #include "Tests/gateway/seed_range.h"
-#include "absl/strings/match.h"
 #include "doctest/doctest.h"
-#include "nlohmann/json.hpp"
 
 namespace heatherwick {
 namespace {
@@ -79,6 +77,18 @@
     SetReachable("g0-db0", true);
   }
 
+  // Makes g0-db0 unreachable and runs until a promotion has been ordered, which
+  // takes effect after `effect_after`.
+  void LosePrimaryUntilOrdered(absl::Duration effect_after) {
+    m_cluster->order_fate = [effect_after](const TargetId&) {
+      return OrderFate{effect_after, true};
+    };
+    SetReachable("g0-db0", false);
+    while (m_cluster->promoted.empty()) {
+      m_cluster->RunFor(absl::Milliseconds(5));
+    }
+  }
+
   std::unique_ptr<LeadershipCluster> m_cluster;
   FakeTable m_empty_table;
 };
@@ -137,13 +147,7 @@
                   "FirstLeader_AnswersAreReadLate_ReplacedPrimaryIsNotUsed") {
   Start(3);
   const FakeTable copy = m_cluster->m_table;
-  m_cluster->order_fate = [](const TargetId&) {
-    return OrderFate{absl::Milliseconds(3600), true};
-  };
-  SetReachable("g0-db0", false);
-  while (m_cluster->promoted.empty()) {
-    m_cluster->RunFor(absl::Milliseconds(5));
-  }
+  LosePrimaryUntilOrdered(absl::Milliseconds(3600));
   m_cluster->m_table.ReturnTo(copy);
   m_cluster->RestartAll();
   SetReachable("g0-db0", true);
@@ -159,13 +163,7 @@
 TEST_CASE_FIXTURE(StoreReturnFixture,
                   "FirstLeader_FirstOrderInFlight_OldPrimaryIsNotUsed") {
   Start(3);
-  m_cluster->order_fate = [](const TargetId&) {
-    return OrderFate{absl::Milliseconds(2900), true};
-  };
-  SetReachable("g0-db0", false);
-  while (m_cluster->promoted.empty()) {
-    m_cluster->RunFor(absl::Milliseconds(5));
-  }
+  LosePrimaryUntilOrdered(absl::Milliseconds(2900));
   m_cluster->order_fate = nullptr;
   m_cluster->m_table.ReturnTo(m_empty_table);
   m_cluster->RestartAll();
@@ -206,13 +204,7 @@
     CAPTURE(restart);
     Start(3);
     const FakeTable copy = m_cluster->m_table;
-    m_cluster->order_fate = [](const TargetId&) {
-      return OrderFate{absl::Milliseconds(2900), true};
-    };
-    SetReachable("g0-db0", false);
-    while (m_cluster->promoted.empty()) {
-      m_cluster->RunFor(absl::Milliseconds(5));
-    }
+    LosePrimaryUntilOrdered(absl::Milliseconds(2900));
     m_cluster->order_fate = nullptr;
     m_cluster->m_table.ReturnTo(copy);
     if (restart) {
@@ -296,16 +288,14 @@
   m_cluster->RunFor(absl::Seconds(2));
   const FakeTable copy = m_cluster->m_table;
   m_cluster->RunFor(absl::Seconds(2));
-  m_cluster->At(3).store.SetDown(true);
-  m_cluster->At(3).isolated = true;
+  CutOff(3, true);
   m_cluster->m_table.ReturnTo(copy);
   m_cluster->m_databases["g0-db0"].alive = false;
   m_cluster->RunFor(absl::Seconds(8));
   CHECK(m_cluster->wrong_acknowledgements == 0);
   CHECK(m_cluster->At(0).Manager().UsablePrimary("g0") == "g0-db1");
   CHECK_FALSE(m_cluster->At(3).Manager().UsablePrimary("g0").has_value());
-  m_cluster->At(3).store.SetDown(false);
-  m_cluster->At(3).isolated = false;
+  CutOff(3, false);
   m_cluster->RunFor(kFleetRecoveryTime);
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
 }
@@ -349,8 +339,7 @@
   // Chosen by an instance that remembers nothing.
   REQUIRE(m_cluster->At(0).Manager().View().Leader("g0").epoch == 1);
   REQUIRE(m_cluster->AllUse("g0", "g0-db0"));
-  m_cluster->At(0).store.SetDown(true);
-  m_cluster->At(0).isolated = true;
+  CutOff(0, true);
   m_cluster->m_databases["g0-db0"].alive = false;
   m_cluster->RunFor(absl::Seconds(8));
   CHECK(m_cluster->wrong_acknowledgements == 0);
@@ -626,19 +615,16 @@
   CHECK_FALSE(view.HasConfirmed("i2", view.Members().at("i2").incarnation, "g0",
                                 epoch));
   // Only instances without memory publish the leader.
-  m_cluster->At(2).store.SetDown(true);
-  m_cluster->At(2).isolated = true;
+  CutOff(2, true);
   m_cluster->RunFor(kRecoveryWithoutMemory);
-  m_cluster->At(2).store.SetDown(false);
-  m_cluster->At(2).isolated = false;
+  CutOff(2, false);
   m_cluster->RunFor(absl::Seconds(3));
   REQUIRE(m_cluster->AllUse("g0", "g0-db1"));
   // i2 misses the next change, which must wait for its lease. The other replica
   // has the whole log, so that the change waits for nothing else.
   m_cluster->m_databases["g0-db2"].status.received =
       m_cluster->m_databases["g0-db1"].status.received;
-  m_cluster->At(2).store.SetDown(true);
-  m_cluster->At(2).isolated = true;
+  CutOff(2, true);
   m_cluster->m_databases["g0-db1"].draining = true;
   m_cluster->RunFor(absl::Seconds(5));
   CHECK(m_cluster->wrong_acknowledgements == 0);
