gateway: Log by whose replies a lease is extended, and when it is lost

The logs could not tell hypothesis 1 (a peer that refuses connections counts as agreeing) from the others: event=lease_by_unanimity gave only the number of members, and nothing said when a lease ended or why an instance registered again.

The line now names what each member replied, at every change and otherwise every 5 s. event=lease_lost and event=lease_regained name the lease's source, its age and the last replies of the peers; event=member_registered says whether the row had been removed.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -292,7 +292,10 @@
   MemberRow row{m_settings.incarnation, m_settings.peer_address, 0, 0,
                 m_settings.data_centre, m_settings.capacity};
   uint64_t existing_version = 0;
+  const char* reason =
+      m_view.Departed().contains(m_settings.self) ? "row_removed" : "joining";
   if (existing != m_view.Members().end()) {
+    reason = m_view.OwnRowPresent() ? "members_joined" : "restarted";
     existing_version = existing->second.row_version;
     if (existing->second.peer_address == m_settings.peer_address) {
       row.joined = existing->second.joined;
@@ -307,7 +310,7 @@
                          0, false}};
   m_store.Commit(
       transaction, kStoreCallTimeout,
-      [this, alive = m_alive](const Result<uint64_t>& result) {
+      [this, reason, alive = m_alive](const Result<uint64_t>& result) {
         if (!*alive) {
           return;
         }
@@ -324,6 +327,7 @@
                                   (0.5 + static_cast<double>(spread) / 1000);
         }
         LOG(INFO) << "event=member_registered instance=" << m_settings.self
+                  << " reason=" << reason
                   << " outcome=" << (Ok(result) ? "done" : "failed");
       });
 }
@@ -716,7 +720,9 @@
 void LeadershipManager::Tick() {
   m_tick_timer = m_loop->RunAfter(kTickPeriod, [this]() { Tick(); });
   m_peer_leases.Tick();
-  if (!m_view.LeaseValid(m_loop->Now())) {
+  const bool lease_valid = m_view.LeaseValid(m_loop->Now());
+  LogLease(lease_valid);
+  if (!lease_valid) {
     m_last_without_lease = m_loop->Now();
     return;
   }
@@ -725,6 +731,28 @@
   }
 }
 
+void LeadershipManager::LogLease(bool valid) {
+  const absl::Time now = m_loop->Now();
+  if (m_had_lease && !valid) {
+    LOG(WARNING) << "event=lease_lost lease_from="
+                 << LeaseSourceName(m_view.Source()) << " lease_age_ms="
+                 << absl::ToInt64Milliseconds(now - m_view.AsOf())
+                 << " store_read_ms_ago="
+                 << absl::ToInt64Milliseconds(now - m_view.LastStoreRead())
+                 << " own_row=" << m_view.OwnRowPresent() << " peers=\""
+                 << m_peer_leases.DescribeLastRound() << "\"";
+    m_lease_lost_at = now;
+  } else if (!m_had_lease && valid && m_lease_lost_at != absl::InfinitePast()) {
+    LOG(INFO) << "event=lease_regained lease_from="
+              << LeaseSourceName(m_view.Source()) << " after_ms="
+              << absl::ToInt64Milliseconds(now - m_lease_lost_at)
+              << " own_row_version="
+              << VersionNumber(
+                     m_view.Members().at(m_settings.self).row_version);
+  }
+  m_had_lease = valid;
+}
+
 void LeadershipManager::UpdateReplicas(const GroupName& group) {
   if (m_groups->SyncReplicas(group) > 0) {
     StateOf(group).replicas.Update(
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -123,6 +123,8 @@
   // Deletes rows of earlier eras once nothing needs them any more.
   void DeleteEarlierRows();
   void Tick();
+  // Logs when the lease is lost and when this instance has one again.
+  void LogLease(bool valid);
   // Proposes leaders for groups that have none.
   void ProposeLeaders();
   void CheckGroup(const GroupName& group);
@@ -271,6 +273,10 @@
   bool m_writing_confirmation = false;
   bool m_write_confirmation_again = false;
   bool m_stopping = false;
+  // The lease was valid at the latest Tick().
+  bool m_had_lease = false;
+  // When it was lost; infinite past before that.
+  absl::Time m_lease_lost_at = absl::InfinitePast();
   // When Tick() last found the lease invalid.
   absl::Time m_last_without_lease = absl::InfinitePast();
   uint64_t m_eras_begun = 0;
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -4,12 +4,16 @@
 #include "Source/gateway/peer_leases.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "Source/base/enum_table.h"
 #include "Source/base/hash.h"
 #include "Source/gateway/store_version.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "glog/logging.h"
 
 namespace heatherwick {
@@ -29,16 +33,59 @@
 constexpr size_t kOtherPeers = 2;
 // Between the rounds of a collector.
 constexpr absl::Duration kCollectorInterval = absl::Milliseconds(500);
+// Between two log lines on leases that are extended by the same replies.
+constexpr absl::Duration kUnanimityLogInterval = absl::Seconds(5);
+// Members that a log line names for each kind of reply.
+constexpr size_t kMaxLoggedMembers = 8;
+
+// What a member's reply, or the lack of one, says about the lease.
+enum class PeerReply {
+  kNoAnswer,
+  kVouched,      // Its reading extends the lease.
+  kSameRows,     // It cannot read the store and knows the same leader rows.
+  kReadNothing,  // It has read nothing since it started.
+  kNotRunning,   // Its address refuses connections.
+  kDisagrees,
+};
+
+constexpr EnumName<PeerReply> kPeerReplyNames[] = {
+    {PeerReply::kNoAnswer, "no_answer"},
+    {PeerReply::kVouched, "vouched"},
+    {PeerReply::kSameRows, "same_rows"},
+    {PeerReply::kReadNothing, "read_nothing"},
+    {PeerReply::kNotRunning, "not_running"},
+    {PeerReply::kDisagrees, "disagrees"},
+};
+
+bool Agrees(PeerReply reply) {
+  return reply == PeerReply::kSameRows || reply == PeerReply::kReadNothing ||
+         reply == PeerReply::kNotRunning;
+}
 
 }  // namespace
 
 struct PeerLeases::Round {
+  std::string Describe() const;
+
   absl::Time started;
   uint64_t era = 0;    // Of the members that are asked.
   size_t members = 0;  // Members other than this instance.
   size_t agreeing_members = 0;
+  std::map<PeerReply, std::vector<InstanceId>> replies;
 };
 
+std::string PeerLeases::Round::Describe() const {
+  std::string text = absl::StrCat("members=", members);
+  for (const auto& [reply, ids] : replies) {
+    std::vector<InstanceId> named = ids;
+    std::sort(named.begin(), named.end());
+    named.resize(std::min(named.size(), kMaxLoggedMembers));
+    absl::StrAppend(&text, " ", NameOf(kPeerReplyNames, reply), "=", ids.size(),
+                    ":", absl::StrJoin(named, ","));
+  }
+  return text;
+}
+
 PeerLeases::PeerLeases(InstanceId self,
                        uint64_t incarnation,
                        EventLoop* loop,
@@ -98,11 +145,12 @@
   round->started = now;
   round->era = m_view->Era();
   round->members = m_view->Members().size() - 1;
-  std::vector<std::pair<uint64_t, std::string>> peers;
+  m_newest_round = round;
+  std::vector<std::tuple<uint64_t, InstanceId, std::string>> peers;
   for (const auto& [id, member] : m_view->Members()) {
     if (id != m_self) {
       // Each round queries different members of a large fleet.
-      peers.emplace_back(StableHash(id, absl::ToUnixNanos(now)),
+      peers.emplace_back(StableHash(id, absl::ToUnixNanos(now)), id,
                          member.peer_address);
     }
   }
@@ -112,23 +160,25 @@
     const InstanceId& collector =
         collectors[StableHash(m_self, absl::ToUnixNanos(now)) %
                    collectors.size()];
-    peers.emplace_back(0, m_view->Members().at(collector).peer_address);
+    peers.emplace_back(0, collector,
+                       m_view->Members().at(collector).peer_address);
   }
   // Announced rows may be newer than rows that this instance lacks, so it asks
   // for all since its last complete reading.
   const VouchQuery query{m_self, m_incarnation, m_view->Version(), {}, {}};
-  for (const auto& [hash, address] : peers) {
-    m_transport->Vouch(
-        address, query, kPeerCallTimeout,
-        [this, round, alive = m_alive](Result<VouchResponse> answer) {
-          if (*alive) {
-            OnAnswer(round, std::move(answer));
-          }
-        });
+  for (const auto& [hash, id, address] : peers) {
+    m_transport->Vouch(address, query, kPeerCallTimeout,
+                       [this, round, peer = InstanceId(id),
+                        alive = m_alive](Result<VouchResponse> answer) {
+                         if (*alive) {
+                           OnAnswer(round, peer, std::move(answer));
+                         }
+                       });
   }
 }
 
 void PeerLeases::OnAnswer(const std::shared_ptr<Round>& round,
+                          const InstanceId& peer,
                           Result<VouchResponse> answer) {
   if (Ok(answer)) {
     const uint64_t era = EraOf(ValueOf(answer).leaders_version);
@@ -139,10 +189,12 @@
   if (round->era != m_view->Era()) {
     return;
   }
-  bool agrees = false;
+  PeerReply reply = PeerReply::kNoAnswer;
   if (!Ok(answer)) {
-    agrees = ErrorOf(answer).kind == ErrorKind::kNotFound &&
-             m_view->LeaseValid(m_loop->Now());
+    if (ErrorOf(answer).kind == ErrorKind::kNotFound) {
+      reply = m_view->LeaseValid(m_loop->Now()) ? PeerReply::kNotRunning
+                                                : PeerReply::kDisagrees;
+    }
   } else {
     VouchResponse& vouch = ValueOf(answer);
     const absl::Time as_of = round->started - vouch.reading_age;
@@ -151,6 +203,7 @@
         vouch.member_known &&
         vouch.leaders_version >= m_view->LeadersVersion() &&
         as_of > m_view->AsOf()) {
+      round->replies[PeerReply::kVouched].push_back(peer);
       RowChanges changes;
       changes.rows = std::move(vouch.leaders);
       changes.as_of = as_of;
@@ -164,10 +217,15 @@
     const bool has_news = std::any_of(
         vouch.leaders.begin(), vouch.leaders.end(),
         [this](const StoredRow& row) { return m_view->IsNewLeaderRow(row); });
-    agrees = vouch.store_unreachable && !has_news &&
-             ((vouch.leaders_version == m_view->LeadersVersion() &&
-               (vouch.member_known || !vouch.has_reading)) ||
-              (has_read_nothing && m_view->LeaseValid(m_loop->Now())));
+    reply = PeerReply::kDisagrees;
+    if (vouch.store_unreachable && !has_news) {
+      if (vouch.leaders_version == m_view->LeadersVersion() &&
+          (vouch.member_known || !vouch.has_reading)) {
+        reply = PeerReply::kSameRows;
+      } else if (has_read_nothing && m_view->LeaseValid(m_loop->Now())) {
+        reply = PeerReply::kReadNothing;
+      }
+    }
     if (has_news) {
       // A change that this instance has missed ends its use of the primary,
       // but the reading does not extend the lease.
@@ -177,16 +235,33 @@
       m_on_rows(changes);
     }
   }
-  round->agreeing_members += agrees ? 1 : 0;
+  round->replies[reply].push_back(peer);
+  round->agreeing_members += Agrees(reply) ? 1 : 0;
   if (round->agreeing_members == round->members && round->members > 0 &&
       round->started > m_view->AsOf() &&
       round->started < m_view->LastStoreRead() + kUnanimityLimit) {
-    LOG_EVERY_N(INFO, 10) << "event=lease_by_unanimity members="
-                          << round->members;
+    LogUnanimity(*round);
     m_view->ExtendLease(round->started);
   }
 }
 
+void PeerLeases::LogUnanimity(const Round& round) {
+  std::string replies = round.Describe();
+  const absl::Time now = m_loop->Now();
+  if (replies == m_logged_unanimity &&
+      now < m_unanimity_logged_at + kUnanimityLogInterval) {
+    return;
+  }
+  LOG(INFO) << "event=lease_by_unanimity " << replies << " store_read_ms_ago="
+            << absl::ToInt64Milliseconds(now - m_view->LastStoreRead());
+  m_logged_unanimity = std::move(replies);
+  m_unanimity_logged_at = now;
+}
+
+std::string PeerLeases::DescribeLastRound() const {
+  return m_newest_round == nullptr ? "" : m_newest_round->Describe();
+}
+
 VouchResponse PeerLeases::Answer(const VouchQuery& query,
                                  bool store_reachable,
                                  bool changing) const {
--- a/Source/gateway/peer_leases.h
+++ b/Source/gateway/peer_leases.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "Source/gateway/event_loop.h"
@@ -49,6 +50,10 @@
                        bool store_reachable,
                        bool changing) const;
 
+  // What each member replied in the newest round, for logs. Empty before the
+  // first round.
+  std::string DescribeLastRound() const;
+
  private:
   struct Round;
 
@@ -56,7 +61,11 @@
   const std::vector<InstanceId>& Collectors();
 
   void OnAnswer(const std::shared_ptr<Round>& round,
+                const InstanceId& peer,
                 Result<VouchResponse> answer);
+  // Logs by whose replies a lease is extended, when that changes and otherwise
+  // rarely.
+  void LogUnanimity(const Round& round);
 
   const InstanceId m_self;
   const uint64_t m_incarnation;
@@ -65,7 +74,10 @@
   LeadershipView* const m_view;
   const std::function<void(const RowChanges&)> m_on_rows;
   const std::function<void(uint64_t)> m_on_era;
+  std::shared_ptr<const Round> m_newest_round;  // Null before the first.
   absl::Time m_last_round = absl::InfinitePast();
+  std::string m_logged_unanimity;
+  absl::Time m_unanimity_logged_at = absl::InfinitePast();
   std::vector<InstanceId> m_collectors;
   uint64_t m_collectors_revision = 0;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -210,6 +210,15 @@
   CHECK(ValidIn(absl::Milliseconds(1900)));
 }
 
+// On-call engineers must be able to tell by whose replies a lease was extended.
+TEST_CASE_FIXTURE(PeerLeasesFixture,
+                  "PeerLeases_RoundEnds_DescriptionNamesEachReply") {
+  CHECK(m_leases.DescribeLastRound().empty());
+  QueryPeers(SameLeaders(), NoAnswer());
+  CHECK(m_leases.DescribeLastRound() ==
+        "members=2 no_answer=1:p2 same_rows=1:p1");
+}
+
 // Guards against primaries that cannot be used because instances restart while
 // the store is away.
 TEST_CASE_FIXTURE(PeerLeasesFixture,
