tests: Reproduce leases that are kept because peers refuse connections

An instance without the store whose peers refuse connections counts them as members that do not run, extends its lease every 250 ms and uses primaries that have been replaced.

--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -166,7 +166,7 @@
                absl::Duration timeout,
                std::function<void(Result<VouchResponse>)> done) override {
       Instance* const peer = m_cluster->Find(address);
-      if (peer == nullptr) {
+      if (peer == nullptr || refused || peer->refused) {
         done(Error{ErrorKind::kNotFound, "refused", ""});
       } else if (isolated || peer->isolated || partition != peer->partition) {
         m_cluster->m_loop.Add(timeout, [done]() {
@@ -211,8 +211,10 @@
    public:
     FakeRowStore store;
     std::set<TargetId> unreachable;
-    bool isolated = false;  // Cut off from its peers.
-    int partition = 0;      // Only peers in the same partition are reached.
+    bool isolated = false;  // Cut off from its peers, which is silent.
+    // The same, but connections are refused, as if no process ran.
+    bool refused = false;
+    int partition = 0;  // Only peers in the same partition are reached.
     absl::Duration status_delay;  // Of the answers of targets.
     bool hold_quiesce = false;    // Its statements at the primary never end.
 
