--- a/Tests/platform/soak/fault_proxy.cc
+++ b/Tests/platform/soak/fault_proxy.cc
@@ -32,6 +32,15 @@
     : m_upstream(std::move(upstream)),
       m_server([this](tcp::socket client) { Serve(std::move(client)); }) {}
 
+void FaultProxy::SetFault(LinkFault fault) {
+  const LinkFault previous = m_fault.exchange(fault);
+  if (previous != LinkFault::kRefused && fault == LinkFault::kRefused) {
+    m_server.Close();
+  } else if (previous == LinkFault::kRefused && fault != LinkFault::kRefused) {
+    m_server.Reopen();
+  }
+}
+
 bool FaultProxy::Forward(int from,
                          int to,
                          bool from_server,
--- a/Tests/platform/soak/fault_proxy.h
+++ b/Tests/platform/soak/fault_proxy.h
@@ -16,6 +16,7 @@
   kDelayed,      // Each forwarded chunk is delayed by kAddedDelay.
   kSilent,       // No bytes pass, and the connections stay open.
   kAnswersLost,  // Requests pass, and answers are dropped.
+  kRefused,      // Connections are refused, and those that are open end.
 };
 
 class FaultProxy {
@@ -24,7 +25,8 @@
   explicit FaultProxy(std::string upstream);
 
   std::string Address() const { return m_server.Address(); }
-  void SetFault(LinkFault fault) { m_fault = fault; }
+  // Must be called by one thread only.
+  void SetFault(LinkFault fault);
   // Resets all connections that are open now.
   void Reset() { ++m_reset_count; }
 
--- a/Tests/platform/soak/instance_process.cc
+++ b/Tests/platform/soak/instance_process.cc
@@ -39,6 +39,10 @@
        << m_settings.more_lines;
 }
 
+std::string InstanceProcess::PeerAddress(uint16_t first_port) {
+  return absl::StrCat("127.0.0.1:", first_port + 2);
+}
+
 InstanceProcess::~InstanceProcess() {
   Kill();
 }
@@ -54,7 +58,9 @@
   std::string program = m_settings.program;
   std::string variable = absl::StrCat("HEATHERWICK_NODE_FILE=", base, ".conf");
   char* arguments[] = {program.data(), nullptr};
-  char* environment[] = {variable.data(), nullptr};
+  std::string advertised = absl::StrCat("HEATHERWICK_ADVERTISED_PEER_ADDRESS=",
+                                        m_settings.advertised_peer);
+  char* environment[] = {variable.data(), advertised.data(), nullptr};
   const int failed = posix_spawn(&m_process, program.c_str(), &actions, nullptr,
                                  arguments, environment);
   CHECK_EQ(failed, 0) << "cannot start " << program;
--- a/Tests/platform/soak/instance_process.h
+++ b/Tests/platform/soak/instance_process.h
@@ -18,10 +18,11 @@
   std::string name;
   std::string store;       // Address of the store, IP:PORT.
   std::string promotions;  // Address that takes promotion orders, IP:PORT.
-  std::string more;        // Further lines of the settings file.
   // Port for callers. The next port serves the readiness check, and the two
   // after it serve peers.
   uint16_t first_port = 0;
+  // Where the other instances reach this one, IP:PORT; empty if directly.
+  std::string advertised_peer;
   // Further lines of the settings file, each with its end of line.
   std::string more_lines;
 };
@@ -36,6 +37,8 @@
 
   uint16_t CallerPort() const { return m_settings.first_port; }
   uint16_t ReadyPort() const { return m_settings.first_port + 1; }
+  // Where the instance listens for its peers.
+  static std::string PeerAddress(uint16_t first_port);
   const std::string& Name() const { return m_settings.name; }
   bool Running() const { return m_process > 0; }
   // Id of the running process.
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -63,6 +63,14 @@
 constexpr uint32_t kMaxStoreAwayMs = 2500;
 constexpr uint32_t kMaxRewriteTimeMs = 2000;
 
+// With faults of the links between instances: bounds of the random duration of
+// a fault, of which one in four is long, and of the pause before the next.
+// Shorter ones end before a lease does.
+constexpr uint32_t kMinLinkFaultMs = 1500;
+constexpr uint32_t kMaxLinkFaultMs = 7000;
+constexpr uint32_t kMaxLongLinkFaultMs = 25000;
+constexpr uint32_t kMaxTimeToLinkFaultMs = 3000;
+
 // Kinds of the faults of an instance.
 enum InstanceFault : uint32_t { kKill, kTerminate, kPause, kHangUp };
 
@@ -151,6 +159,7 @@
       m_planner(static_cast<uint32_t>(options.seed), options.orders_late),
       m_key_random(static_cast<uint32_t>(options.seed)),
       m_return_random(static_cast<uint32_t>(options.seed)),
+      m_link_random(static_cast<uint32_t>(options.seed)),
       m_workspace_history(kRevocationLimit,
                           {absl::Seconds(5), kQuotaOvershoot, kQuotaSlack}) {
   std::string pattern =
@@ -196,6 +205,11 @@
     }
     m_ports.push_back(std::make_unique<PortBlock>());
     settings.first_port = m_ports.back()->FirstPort();
+    if (options.peer_links) {
+      m_peer_links.push_back(
+          new FaultProxy(InstanceProcess::PeerAddress(settings.first_port)));
+      settings.advertised_peer = m_peer_links.back()->Address();
+    }
     ports.push_back(settings.first_port);
     m_instances.push_back(std::make_unique<InstanceProcess>(settings));
     m_down_until.push_back(absl::InfinitePast());
@@ -561,6 +575,47 @@
   }
 }
 
+absl::Time Soak::DisturbPeerLinks() {
+  static constexpr LinkFault kFaults[] = {
+      LinkFault::kRefused, LinkFault::kRefused, LinkFault::kSilent,
+      LinkFault::kDelayed, LinkFault::kAnswersLost};
+  static constexpr const char* kFaultNames[] = {"refused", "refused", "silent",
+                                                "delayed", "answers lost"};
+  const uint32_t instance = m_link_random() % m_instances.size();
+  const uint32_t fault = m_link_random() % std::size(kFaults);
+  const uint32_t scope = m_link_random() % 8;
+  const uint32_t limit_ms =
+      m_link_random() % 4 == 0 ? kMaxLongLinkFaultMs : kMaxLinkFaultMs;
+  const uint32_t duration_ms =
+      kMinLinkFaultMs + m_link_random() % (limit_ms - kMinLinkFaultMs);
+  // The ways to all other instances are disturbed, so that none of their
+  // answers reaches this one. The others go on with the store. Without the way
+  // to this instance it is not told of changes, either.
+  std::vector<FaultProxy*> links;
+  for (size_t index = 0; index < m_peer_links.size(); ++index) {
+    if (index != instance || scope > 0) {
+      links.push_back(m_peer_links[index]);
+    }
+  }
+  if (scope > 1) {
+    links.push_back(m_store_links[instance]);
+  }
+  PrintEvent(absl::StrCat("links to the peers of i", instance,
+                          scope > 1 ? " and to its store" : "", " ",
+                          kFaultNames[fault], " for ", duration_ms, " ms"));
+  for (FaultProxy* const link : links) {
+    link->SetFault(kFaults[fault]);
+  }
+  const absl::Time end = SteadyNow() + absl::Milliseconds(duration_ms);
+  m_scheduled_ends.push_back({end, [this, links]() {
+                                PrintEvent("links between instances restored");
+                                for (FaultProxy* const link : links) {
+                                  link->SetFault(LinkFault::kNone);
+                                }
+                              }});
+  return end;
+}
+
 void Soak::ReturnStore() {
   const absl::Duration age =
       absl::Milliseconds(m_return_random() % kMaxCopyAgeMs);
@@ -704,7 +759,14 @@
   absl::Time next_copy =
       m_options.store_returns ? SteadyNow() : absl::InfiniteFuture();
   absl::Time next_return = next_copy + absl::Milliseconds(kMinTimeToReturnMs);
+  absl::Time next_link_fault =
+      m_options.peer_links ? SteadyNow() : absl::InfiniteFuture();
   while (SteadyNow() < end) {
+    if (SteadyNow() >= next_link_fault) {
+      next_link_fault =
+          DisturbPeerLinks() +
+          absl::Milliseconds(m_link_random() % kMaxTimeToLinkFaultMs);
+    }
     if (SteadyNow() >= next_copy) {
       m_store->TakeCopy();
       next_copy = SteadyNow() + kCopyInterval;
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -40,6 +40,9 @@
   bool orders_late = false;
   // The store returns from copies that are some seconds old.
   bool store_returns = false;
+  // Disturbs the connections between instances, and cuts instances off from
+  // their peers and the store.
+  bool peer_links = false;
   // Injects only what the other options ask for.
   bool calm = false;
   // Workspaces with two keys each, of which all but the first have a quota. 0
@@ -90,6 +93,9 @@
                      const std::string& id,
                      absl::Time end);
   void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
+  // Disturbs the way to the peers of a random instance, mostly together with
+  // its way to the store. Returns when the links are restored.
+  absl::Time DisturbPeerLinks();
   // Lets the store return from a copy, sometimes after it was away.
   void ReturnStore();
   // Prints how long the groups and the callers took no writes after returns.
@@ -124,6 +130,8 @@
   // the process ends.
   FakeStore* const m_store = new FakeStore();
   std::vector<FaultProxy*> m_store_links;
+  // The ways to each instance from its peers. Empty without peer_links.
+  std::vector<FaultProxy*> m_peer_links;
   std::map<std::string, FaultProxy*> m_database_links;
   std::vector<FakeDatabaseGroup*> m_groups;
   std::vector<std::unique_ptr<PortBlock>> m_ports;
@@ -142,6 +150,8 @@
   std::mt19937 m_key_random;
   // Not m_random, whose draws stay the same without returns of the store.
   std::mt19937 m_return_random;
+  // Not m_random, whose draws stay the same without faults of these links.
+  std::mt19937 m_link_random;
   std::vector<absl::Time> m_returns;
   std::map<std::string, std::string> m_keys;  // Each key's present workspace.
   WorkspaceHistory m_workspace_history;
