gateway: Do not offer a lent statement again because its error says refused

A call to a lender whose error contained "refused" counted as one that no process got, and its commands were offered to the next lender. The kernel also reports a refused connection for an established one that breaks after a firewall has begun to reject its packets, so the commands may have run and would have run twice.

Only an unavailable call that found no connection at all, which gRPC says at the start of its message, counts as not sent.

GrpcPeerTransport_CallRanAndFailsAsRefused_MayHaveRun fails before: a peer ran the call, and the error was kNotFound for both messages.

--- a/Source/gateway/borrowing_driver.cc
+++ b/Source/gateway/borrowing_driver.cc
@@ -204,8 +204,7 @@
     m_in_flight = false;
     if (!Ok(answer)) {
       m_driver->Avoid(m_lender, ErrorOf(answer).message);
-      const bool not_run = ErrorOf(answer).kind == ErrorKind::kNotFound ||
-                           ErrorOf(answer).kind == ErrorKind::kNotSent;
+      const bool not_run = ErrorOf(answer).kind == ErrorKind::kNotSent;
       if (not_run && m_loan == 0) {
         OfferAgain(ErrorOf(answer).message, kMaxOffers);
       } else {
--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -104,6 +104,25 @@
   leader->set_version(row.version);
 }
 
+// Only a call that found no connection is known not to have been sent. The peer
+// may have received one whose error says that a connection was refused: the
+// kernel reports that for a connection that has broken, too.
+ErrorKind KindOf(const grpc::Status& status) {
+  switch (status.error_code()) {
+    case grpc::StatusCode::FAILED_PRECONDITION:
+      return ErrorKind::kNotHome;
+    case grpc::StatusCode::UNIMPLEMENTED:
+      // A peer of an earlier version does not know every call.
+      return ErrorKind::kNotSent;
+    case grpc::StatusCode::UNAVAILABLE:
+      return absl::StartsWith(status.error_message(), kNoConnectionMessage)
+                 ? ErrorKind::kNotSent
+                 : ErrorKind::kUnavailable;
+    default:
+      return ErrorKind::kUnavailable;
+  }
+}
+
 template <typename Rows>
 std::vector<StoredRow> ToRows(const Rows& leaders) {
   std::vector<StoredRow> rows;
@@ -427,20 +446,7 @@
           if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
             OnMissedDeadline(address, call->channel, call->sent);
           }
-          const bool refused =
-              absl::StrContains(status.error_message(), "refused");
-          ErrorKind kind = ErrorKind::kUnavailable;
-          if (status.error_code() == grpc::StatusCode::FAILED_PRECONDITION) {
-            kind = ErrorKind::kNotHome;
-          } else if (refused) {
-            kind = ErrorKind::kNotFound;
-          } else if (absl::StrContains(status.error_message(),
-                                       kNoConnectionMessage) ||
-                     status.error_code() == grpc::StatusCode::UNIMPLEMENTED) {
-            // A peer of an earlier version does not know every call.
-            kind = ErrorKind::kNotSent;
-          }
-          done(Error{kind, status.error_message(),
+          done(Error{KindOf(status), status.error_message(),
                      "check that the instance runs and can be reached"});
         });
       };
--- a/Source/gateway/lending.h
+++ b/Source/gateway/lending.h
@@ -73,9 +73,8 @@
  public:
   virtual ~LendingTransport() = default;
 
-  // Fails with kNotFound if no process runs at the address, and with kNotSent
-  // if there is no connection to it; nothing has run then. After other errors
-  // the commands may have run.
+  // Fails with kNotSent if there is no connection to the address; nothing has
+  // run then. After other errors the commands may have run.
   virtual void Run(const std::string& address,
                    const RunQuery& query,
                    absl::Duration timeout,
--- a/Tests/gateway/grpc_peer_transport_test.cc
+++ b/Tests/gateway/grpc_peer_transport_test.cc
@@ -1,5 +1,5 @@
 // Guards against a peer's reply that is larger than it may be costing more than
-// its call.
+// its call, and against errors that say too much about what the peer did.
 
 #include "Source/gateway/grpc_peer_transport.h"
 
@@ -8,11 +8,14 @@
 #include <string>
 
 #include "Source/gateway/asio_event_loop.h"
+#include "Source/proto/leadership.grpc.pb.h"
 #include "absl/strings/str_cat.h"
 #include "boost/asio/executor_work_guard.hpp"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "doctest/doctest.h"
+#include "grpcpp/security/server_credentials.h"
+#include "grpcpp/server_builder.h"
 
 namespace heatherwick {
 namespace {
@@ -29,6 +32,20 @@
   return acceptor.local_endpoint().port();
 }
 
+// A peer that runs what it is sent and then fails the call.
+class FailingPeer : public proto::Leadership::Service {
+ public:
+  grpc::Status Run(grpc::ServerContext*,
+                   const proto::RunRequest*,
+                   proto::RunReply*) override {
+    ++runs;
+    return status;
+  }
+
+  grpc::Status status;
+  int runs = 0;
+};
+
 class GrpcPeerTransportFixture {
  protected:
   GrpcPeerTransportFixture() {
@@ -83,6 +100,23 @@
     return length;
   }
 
+  // Returns the kind of the error with which a call to `address` fails.
+  std::optional<ErrorKind> RunError(const std::string& address) {
+    RunQuery query;
+    query.commands.emplace_back();
+    std::optional<ErrorKind> kind;
+    m_client.Run(address, query, kTimeout,
+                 [this, &kind](const Result<RunResponse>& result) {
+                   if (!Ok(result)) {
+                     kind = ErrorOf(result).kind;
+                   }
+                   m_context.stop();
+                 });
+    m_loop.Run();
+    m_context.restart();
+    return kind;
+  }
+
   boost::asio::io_context m_context{1};
   // The loop waits for calls, which run in threads of gRPC.
   const boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
@@ -109,5 +143,33 @@
   CHECK(Run("small") == 10);
 }
 
+// A lender that ran the commands must not be taken for one that did not get
+// them: the commands would run again.
+TEST_CASE_FIXTURE(GrpcPeerTransportFixture,
+                  "GrpcPeerTransport_CallRanAndFailsAsRefused_MayHaveRun") {
+  FailingPeer peer;
+  const std::string address = absl::StrCat("127.0.0.1:", FreePort());
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials());
+  builder.RegisterService(&peer);
+  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+  REQUIRE(server != nullptr);
+  for (const char* message :
+       {"recvmsg:Connection refused",
+        "Connection refused: failed to connect to all addresses"}) {
+    CAPTURE(message);
+    peer.runs = 0;
+    peer.status = {grpc::StatusCode::UNAVAILABLE, message};
+    CHECK(RunError(address) == ErrorKind::kUnavailable);
+    CHECK(peer.runs == 1);
+  }
+}
+
+TEST_CASE_FIXTURE(GrpcPeerTransportFixture,
+                  "GrpcPeerTransport_NobodyListens_CallIsKnownNotToBeSent") {
+  CHECK(RunError(absl::StrCat("127.0.0.1:", FreePort())) ==
+        ErrorKind::kNotSent);
+}
+
 }  // namespace
 }  // namespace heatherwick
