--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -742,6 +742,7 @@
                  << absl::ToInt64Milliseconds(now - m_view.LastStoreRead())
                  << " own_row=" << m_view.OwnRowPresent() << " peers=\""
                  << m_peer_leases.DescribeLastRound() << "\"";
+    ++m_leases_lost;
     m_lease_lost_at = now;
   } else if (!m_had_lease && valid && m_lease_lost_at != absl::InfinitePast()) {
     LOG(INFO) << "event=lease_regained lease_from="
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -95,6 +95,12 @@
   uint64_t PromotionsSeen() const { return m_promotions_seen; }
   // Eras of the store that began after this instance had read another one.
   uint64_t ErasBegun() const { return m_eras_begun; }
+  // Leases of this run that ended before this instance left, and extensions of
+  // leases because no member could read the store.
+  uint64_t LeasesLost() const { return m_leases_lost; }
+  uint64_t LeasesExtendedByUnanimity() const {
+    return m_peer_leases.UnanimousRounds();
+  }
   // How often a choice waited until earlier orders had ended.
   uint64_t PromotionsWithheld() const { return m_promotions_withheld; }
 
@@ -275,6 +281,7 @@
   bool m_stopping = false;
   // The lease was valid at the latest Tick().
   bool m_had_lease = false;
+  uint64_t m_leases_lost = 0;
   // When it was lost; infinite past before that.
   absl::Time m_lease_lost_at = absl::InfinitePast();
   // When Tick() last found the lease invalid.
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -235,6 +235,7 @@
   if (round->agreeing_members == round->members && round->members > 0 &&
       round->started > m_view->AsOf() &&
       round->started < m_view->LastStoreRead() + kUnanimityLimit) {
+    ++m_unanimous_rounds;
     LogUnanimity(*round);
     m_view->ExtendLease(round->started);
   }
--- a/Source/gateway/peer_leases.h
+++ b/Source/gateway/peer_leases.h
@@ -55,6 +55,8 @@
   // What each member replied in the newest round, for logs. Empty before the
   // first round.
   std::string DescribeLastRound() const;
+  // How often the lease was extended because all members agreed.
+  uint64_t UnanimousRounds() const { return m_unanimous_rounds; }
 
  private:
   struct Round;
@@ -78,6 +80,7 @@
   const std::function<void(uint64_t)> m_on_era;
   std::shared_ptr<const Round> m_newest_round;  // Null before the first.
   absl::Time m_last_round = absl::InfinitePast();
+  uint64_t m_unanimous_rounds = 0;
   std::string m_logged_unanimity;
   absl::Time m_unanimity_logged_at = absl::InfinitePast();
   std::vector<InstanceId> m_collectors;
--- a/Tests/gateway/refused_peers_test.cc
+++ b/Tests/gateway/refused_peers_test.cc
@@ -45,6 +45,8 @@
   m_cluster.RunFor(absl::Seconds(20));
   CHECK(m_cluster.promoted.size() == 2);
   CHECK_FALSE(LeaseValid(0));
+  CHECK(m_cluster.At(0).Manager().LeasesLost() == 1);
+  CHECK(m_cluster.At(0).Manager().LeasesExtendedByUnanimity() == 0);
 }
 
 // All groups are served by the replaced primaries at the moment at which the
@@ -113,6 +115,8 @@
   m_cluster.RunFor(absl::Seconds(10));
   for (const size_t index : {0, 1, 2}) {
     CHECK(LeaseValid(index));
+    CHECK(m_cluster.At(index).Manager().LeasesLost() == 0);
+    CHECK(m_cluster.At(index).Manager().LeasesExtendedByUnanimity() > 0);
   }
 }
 
