gateway: Count a member that has read nothing only while the lease is valid

A member that answers with the same version of leader rows agrees to extend a lease, also an expired one. A member that has started again and read nothing can have that version from an announcement of one group's change, and know of no older change. An instance that had missed another group's change regained its lease after 11.2 s by such an answer, and could have acknowledged writes of the replaced primary.

A reply without a reading now agrees at most while the lease is valid, whatever its version.

PeerLeases_MemberKnowsAnnouncedRowOnlyAfterExpiry_DoesNotExtend is new. The scripted answers of SameLeaders() now have a reading, as those of members that know their peer do.

Tried: members that have read nothing never agree.

--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -213,12 +213,13 @@
   PeerReply reply = PeerReply::kDisagrees;
   // A reply without a name may be that of another instance.
   if (vouch.store_unreachable && !has_news && vouch.responder == peer) {
-    const bool has_read_nothing =
-        !vouch.has_reading && vouch.leaders_version == 0;
-    if (vouch.leaders_version == m_view->LeadersVersion() &&
-        (vouch.member_known || !vouch.has_reading)) {
+    const bool same_version = vouch.leaders_version == m_view->LeadersVersion();
+    if (vouch.has_reading && vouch.member_known && same_version) {
       reply = PeerReply::kSameRows;
-    } else if (has_read_nothing && m_view->LeaseValid(m_loop->Now())) {
+    } else if (!vouch.has_reading &&
+               (vouch.leaders_version == 0 || same_version) &&
+               m_view->LeaseValid(m_loop->Now())) {
+      // Rows that were announced to it do not show that it knows older ones.
       reply = PeerReply::kReadNothing;
     }
   }
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -82,6 +82,7 @@
               this,
               this)) {
       store.SetPollDelay(cluster->poll_delay);
+      store.SetDown(cluster->starts_without_store);
       m_manager->Start();
     }
 
@@ -373,6 +374,8 @@
   bool decided_when_ordered = false;
   size_t wrong_acknowledgements = 0;
   absl::Duration poll_delay;  // Used by instances that are added later.
+  // Instances that are added later start while the store does not answer them.
+  bool starts_without_store = false;
   uint32_t sync_replicas = 0;
 
  private:
--- a/Tests/gateway/peer_leases_test.cc
+++ b/Tests/gateway/peer_leases_test.cc
@@ -85,6 +85,9 @@
   VouchResponse SameLeaders() const {
     VouchResponse answer = StoreUnreachable();
     answer.leaders_version = m_view.LeadersVersion();
+    answer.has_reading = true;
+    answer.reading_age = absl::Hours(1);
+    answer.member_known = true;
     return answer;
   }
   static VouchResponse StoreUnreachable() {
@@ -238,7 +241,7 @@
                  From("p1", StoreUnreachable()));
   CHECK_FALSE(ValidIn(absl::Milliseconds(1001)));
   CHECK(m_leases.DescribeLastRound() ==
-        "members=2 other_instance=1:p2 same_rows=1:p1");
+        "members=2 other_instance=1:p2 read_nothing=1:p1");
   QueryAddresses(NoAnswer(), From("p1", ReadOfAge(absl::ZeroDuration())));
   CHECK_FALSE(ValidIn(absl::ZeroDuration()));
 }
@@ -273,6 +276,20 @@
   CHECK(ValidIn(absl::Milliseconds(1900)));
 }
 
+// A row that was announced to both shows nothing about older changes, which the
+// member has forgotten and this instance has missed.
+TEST_CASE_FIXTURE(
+    PeerLeasesFixture,
+    "PeerLeases_MemberKnowsAnnouncedRowOnlyAfterExpiry_DoesNotExtend") {
+  AddLeaderRow();
+  m_loop.RunFor(absl::Seconds(2));
+  VouchResponse restarted = SameLeaders();
+  restarted.has_reading = false;
+  restarted.member_known = false;
+  QueryPeers(SameLeaders(), restarted);
+  CHECK_FALSE(ValidIn(absl::ZeroDuration()));
+}
+
 // As NO_CONTINUOUS_LEASE below: it may have ended after it promoted.
 TEST_CASE_FIXTURE(PeerLeasesFixture,
                   "PeerLeases_MemberHasReadNothingAfterExpiry_DoesNotExtend") {
