gateway: Ask the witnesses of a change whether they still run

A holder waits one lease, and not 10 minutes, for an unresponsive member that knows another member which has confirmed the change, because that one does not agree any more to extend leases. Its next run does: it has read nothing. With the store out of reach of both, the lease of the unresponsive member goes on while the holder promotes.

When the wait ends, the holder asks the members on which it rests; their replies name their run (responder_incarnation). One that has started again counts for nothing; another one is taken, or the same asked again after 1 s. The time from which a confirmation counts is now kept by run.

Price: a call to one member in each change that waits for an unresponsive member which may not know the holder.

--- a/Source/gateway/grpc_peer_transport.cc
+++ b/Source/gateway/grpc_peer_transport.cc
@@ -151,6 +151,7 @@
            {request->confirmed().begin(), request->confirmed().end()},
            ToRows(request->announced())});
       reply->set_responder(answer.responder);
+      reply->set_responder_incarnation(answer.responder_incarnation);
       reply->set_member_known(answer.member_known);
       reply->set_has_reading(answer.has_reading);
       reply->set_reading_age_us(absl::ToInt64Microseconds(answer.reading_age));
@@ -481,6 +482,7 @@
         const proto::VouchReply& reply = ValueOf(result);
         VouchResponse answer;
         answer.responder = reply.responder();
+        answer.responder_incarnation = reply.responder_incarnation();
         answer.member_known = reply.member_known();
         answer.has_reading = reply.has_reading();
         answer.reading_age = absl::Microseconds(reply.reading_age_us());
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -4,6 +4,7 @@
 #include "Source/gateway/leadership_manager.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -60,6 +61,8 @@
 // kPromotionLockLease plus one call that the holder sent just before that lease
 // ended.
 constexpr absl::Duration kTakeoverAfter = absl::Milliseconds(5000);
+// A member that did not answer whether it still runs is asked again after this.
+constexpr absl::Duration kWitnessRetryDelay = absl::Seconds(1);
 constexpr absl::Duration kStatusTimeout = absl::Milliseconds(400);
 // How long a change waits for a replica to receive the old primary's whole log.
 constexpr absl::Duration kCatchUpTimeout = absl::Milliseconds(1500);
@@ -133,10 +136,16 @@
   // Members that did not confirm before their leases expired, with the versions
   // of their member rows. Their rows are deleted at the end of the change.
   std::map<InstanceId, uint64_t> expired_members;
-  // For each unresponsive member, the time at which a member known to it was
-  // first found to have confirmed this change. From then on, the unresponsive
-  // member cannot extend its lease by unanimity.
-  std::map<InstanceId, absl::Time> unanimity_impossible_since;
+  // When each run of a member was first found to have confirmed this change.
+  // From then on, and while that run lasts, members that know it cannot extend
+  // their leases by unanimity.
+  std::map<MemberRun, absl::Time> confirmed_since;
+  // Those whose confirmations the wait for leases rests on. Before it ends,
+  // each is asked whether it still runs.
+  std::set<MemberRun> witnesses;
+  std::set<MemberRun> verified_witnesses;
+  std::set<MemberRun> lost_witnesses;  // Could not be verified.
+  size_t verifications_pending = 0;
   TargetId candidate;
   Position candidate_log;       // End of its log when it was chosen.
   uint64_t candidate_term = 0;  // Set once the candidate is known to lead.
@@ -1235,10 +1244,12 @@
 void LeadershipManager::AwaitConfirmations(const GroupName& group,
                                            uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
-  if (change == nullptr || change->quiesced) {
+  if (change == nullptr || change->quiesced ||
+      change->verifications_pending > 0) {
     return;
   }
   const absl::Time now = m_loop->Now();
+  change->witnesses.clear();
   const std::vector<InstanceId> missing =
       m_view.Unconfirmed(group, change->epoch);
   // Until the view includes the announcement's version, it may lack a member
@@ -1261,8 +1272,20 @@
   }
   expiry = std::max(expiry, EndOfDepartedLeases(group, change, missing));
   if (now < expiry) {
-    RunStepAfter(group, attempt, expiry - now,
-                 &LeadershipManager::AwaitConfirmations);
+    if (change->lost_witnesses.empty()) {
+      RunStepAfter(group, attempt, expiry - now,
+                   &LeadershipManager::AwaitConfirmations);
+    } else {
+      RunStepAfter(group, attempt, std::min(expiry - now, kWitnessRetryDelay),
+                   &LeadershipManager::RetryWitnesses);
+    }
+    return;
+  }
+  if (m_peers != nullptr &&
+      !std::includes(change->verified_witnesses.begin(),
+                     change->verified_witnesses.end(),
+                     change->witnesses.begin(), change->witnesses.end())) {
+    VerifyWitnesses(group, attempt);
     return;
   }
   // A later attempt may find the leases over before a live member could confirm
@@ -1283,6 +1306,52 @@
   CollectStatuses(group, attempt);
 }
 
+void LeadershipManager::VerifyWitnesses(const GroupName& group,
+                                        uint64_t attempt) {
+  PrimaryChange* const change = FindChange(group, attempt);
+  std::vector<MemberRun> asked;
+  std::set_difference(change->witnesses.begin(), change->witnesses.end(),
+                      change->verified_witnesses.begin(),
+                      change->verified_witnesses.end(),
+                      std::back_inserter(asked));
+  change->verifications_pending = asked.size();
+  const VouchQuery query{
+      m_settings.self, m_settings.incarnation, m_view.Version(), {}, {}};
+  for (const MemberRun& witness : asked) {
+    m_peers->Vouch(
+        m_view.Members().at(witness.first).peer_address, query, kConfirmTimeout,
+        [this, group, attempt, witness,
+         alive = m_alive](const Result<VouchResponse>& answer) {
+          PrimaryChange* const asking =
+              *alive ? FindChange(group, attempt) : nullptr;
+          if (asking == nullptr) {
+            return;
+          }
+          const bool runs =
+              Ok(answer) &&
+              witness == MemberRun(ValueOf(answer).responder,
+                                   ValueOf(answer).responder_incarnation);
+          (runs ? asking->verified_witnesses : asking->lost_witnesses)
+              .insert(witness);
+          LOG(INFO) << "event=witness_asked group=" << group
+                    << " member=" << witness.first
+                    << " outcome=" << (runs ? "runs" : "lost");
+          if (--asking->verifications_pending == 0) {
+            AwaitConfirmations(group, attempt);
+          }
+        });
+  }
+}
+
+void LeadershipManager::RetryWitnesses(const GroupName& group,
+                                       uint64_t attempt) {
+  PrimaryChange* const change = FindChange(group, attempt);
+  if (change != nullptr) {
+    change->lost_witnesses.clear();
+    AwaitConfirmations(group, attempt);
+  }
+}
+
 absl::Time LeadershipManager::EndOfDepartedLeases(
     const GroupName& group,
     PrimaryChange* change,
@@ -1321,16 +1390,26 @@
       (own != m_view.Members().end() && known_to_it(own->first, own->second))) {
     return change_seen;
   }
+  absl::Time earliest = change_seen + kUnanimityLimit;
+  std::optional<MemberRun> witness;
   for (const auto& [id, member] : m_view.Members()) {
+    const MemberRun run(id, member.incarnation);
     const bool confirmed =
         std::find(missing.begin(), missing.end(), id) == missing.end();
-    if (confirmed && id != m_settings.self && known_to_it(id, member)) {
-      return change->unanimity_impossible_since
-          .emplace(unresponsive, m_loop->Now())
-          .first->second;
+    if (confirmed && id != m_settings.self && known_to_it(id, member) &&
+        !change->lost_witnesses.contains(run)) {
+      const absl::Time since =
+          change->confirmed_since.emplace(run, m_loop->Now()).first->second;
+      if (since < earliest) {
+        earliest = since;
+        witness = run;
+      }
     }
   }
-  return change_seen + kUnanimityLimit;
+  if (witness) {
+    change->witnesses.insert(*witness);
+  }
+  return earliest;
 }
 
 std::vector<TargetId> LeadershipManager::TargetsToQuery(
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Source/base/types.h"
@@ -109,6 +110,8 @@
  private:
   struct GroupState;
   struct PrimaryChange;
+  // A member and its incarnation.
+  using MemberRun = std::pair<InstanceId, uint64_t>;
 
   void Poll();
   void OnPolled(Result<RowChanges> polled);
@@ -174,6 +177,7 @@
   // Returns the time after which an unresponsive member can no longer renew its
   // lease. `missing` lists all members that have not confirmed the change.
   // `known_to_it` tells whether the unresponsive member knows the given one.
+  // Adds the member whose confirmation this rests on to the change's witnesses.
   absl::Time EndOfLeaseRenewals(
       const GroupName& group,
       PrimaryChange* change,
@@ -181,6 +185,12 @@
       const std::vector<InstanceId>& missing,
       const std::function<bool(const InstanceId&, const MemberRow&)>&
           known_to_it) const;
+  // Asks the change's witnesses whether they still run, and then continues. A
+  // member that has started again does not know what it has confirmed, and may
+  // agree that an unresponsive member extends its lease.
+  void VerifyWitnesses(const GroupName& group, uint64_t attempt);
+  // Continues with all witnesses after some could not be verified.
+  void RetryWitnesses(const GroupName& group, uint64_t attempt);
   // Returns the time at which the leases of members without rows have expired.
   absl::Time EndOfDepartedLeases(const GroupName& group,
                                  PrimaryChange* change,
--- a/Source/gateway/peer_leases.cc
+++ b/Source/gateway/peer_leases.cc
@@ -264,6 +264,7 @@
                                  bool changing) const {
   VouchResponse answer;
   answer.responder = m_self;
+  answer.responder_incarnation = m_incarnation;
   const auto member = m_view->Members().find(query.instance);
   answer.member_known = m_view->MembersCurrent() &&
                         member != m_view->Members().end() &&
--- a/Source/gateway/peer_transport.h
+++ b/Source/gateway/peer_transport.h
@@ -35,6 +35,7 @@
   // The instance that answers; empty if it runs an earlier version. An address
   // may have passed to another instance.
   InstanceId responder;
+  uint64_t responder_incarnation = 0;
   // The responder's view contains the sender's member row and incarnation.
   bool member_known = false;
   bool has_reading = false;
