tests: Play random faults of links between instances

A link can refuse, be silent or lose answers, in one direction or both, while instances lose the store, end and start again after 0.1 to 4 s, and databases drain or die. The tests before only refused all links of one instance, and instances started again at once.

--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -46,6 +46,13 @@
   bool not_sent = false;  // The sender could not connect.
 };
 
+// What happens to calls of one instance to another.
+enum class LinkFault {
+  kRefused,      // The connection is refused, as if no process ran.
+  kSilent,       // The call does not arrive, and the caller is not told.
+  kAnswersLost,  // The call arrives, but its answer does not.
+};
+
 class LeadershipCluster : public PromotionApi {
  public:
   static constexpr absl::Duration kPromotionTime = absl::Milliseconds(1000);
@@ -73,6 +80,7 @@
              const std::string& name,
              uint64_t incarnation)
         : m_cluster(cluster),
+          m_name(name),
           store(&cluster->m_loop, &cluster->m_table),
           m_manager(std::make_unique<LeadershipManager>(
               LeadershipSettings{name, incarnation, name, "dc", 1},
@@ -166,9 +174,19 @@
                absl::Duration timeout,
                std::function<void(Result<VouchResponse>)> done) override {
       Instance* const peer = m_cluster->Find(address);
-      if (peer == nullptr || refused || peer->refused) {
+      const std::optional<LinkFault> fault =
+          m_cluster->FaultOf(m_name, address);
+      const bool arrives =
+          peer != nullptr && (!fault || fault == LinkFault::kAnswersLost) &&
+          !isolated && !peer->isolated && partition == peer->partition;
+      if (fault == LinkFault::kRefused || refused ||
+          (peer == nullptr && fault != LinkFault::kSilent) ||
+          (peer != nullptr && peer->refused)) {
         done(Error{ErrorKind::kNotFound, "refused", ""});
-      } else if (isolated || peer->isolated || partition != peer->partition) {
+      } else if (!arrives || fault) {
+        if (arrives) {
+          (void)peer->Manager().Vouch(query);
+        }
         m_cluster->m_loop.Add(timeout, [done]() {
           done(Error{ErrorKind::kUnavailable, "no answer", ""});
         });
@@ -206,6 +224,7 @@
 
    private:
     LeadershipCluster* const m_cluster;
+    const std::string m_name;
     mutable std::map<TargetId, absl::Time> m_contacts;
 
    public:
@@ -259,6 +278,13 @@
     }
   }
 
+  std::optional<LinkFault> FaultOf(const std::string& from,
+                                   const std::string& to) const {
+    const auto found = link_faults.find({from, to});
+    return found == link_faults.end() ? std::nullopt
+                                      : std::optional(found->second);
+  }
+
   Instance* Find(const std::string& name) {
     const auto found = m_instances.find(name);
     return found == m_instances.end() ? nullptr : found->second.get();
@@ -372,6 +398,8 @@
   // when the order arrives, or when it takes effect.
   bool decided_when_ordered = false;
   size_t wrong_acknowledgements = 0;
+  // By the caller and the instance that is called. Other links work.
+  std::map<std::pair<std::string, std::string>, LinkFault> link_faults;
   absl::Duration poll_delay;  // Used by instances that are added later.
   uint32_t sync_replicas = 0;
 
--- a/Tests/gateway/refused_peers_test.cc
+++ b/Tests/gateway/refused_peers_test.cc
@@ -4,8 +4,13 @@
 // of a primary that has been replaced.
 
 #include <memory>
+#include <optional>
+#include <random>
+#include <string>
 
 #include "Tests/gateway/leadership_cluster.h"
+#include "Tests/gateway/seed_range.h"
+#include "absl/strings/str_cat.h"
 #include "doctest/doctest.h"
 
 namespace heatherwick {
@@ -116,5 +121,123 @@
   }
 }
 
+// A link that refuses, in one direction or both, shows nothing about the
+// process behind it, whatever else fails at the same time.
+TEST_CASE("RefusedPeers_RandomLinks_NoReplacedPrimaryUsed") {
+  constexpr uint32_t kGroups = 3;
+  constexpr uint32_t kDatabases = 3;  // In each group.
+  const SeedRange seeds = SeedsFromEnvironment();
+  for (uint32_t seed = seeds.first; seed <= seeds.last; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto below = [&random](uint32_t limit) { return random() % limit; };
+    const uint32_t instances = 3 + seed % 3;
+    LeadershipCluster cluster(instances, kGroups);
+    cluster.RunFor(absl::Seconds(3));
+    const auto set_link = [&cluster](const std::string& from,
+                                     const std::string& to,
+                                     std::optional<LinkFault> fault) {
+      cluster.link_faults.erase({from, to});
+      if (fault && from != to) {
+        cluster.link_faults[{from, to}] = *fault;
+      }
+    };
+    for (int step = 0; step < 50; ++step) {
+      const uint32_t action = below(12);
+      const uint32_t instance_index = below(instances);
+      const uint32_t peer_index = below(instances);
+      const uint32_t fault_index = below(5);
+      const uint32_t direction = below(3);
+      const bool loses_store = below(2) == 0;
+      const uint32_t group_index = below(kGroups);
+      const uint32_t database_index = below(kDatabases);
+      const uint32_t restart_ms = 100 + below(3901);
+      const uint32_t pause_ms = below(1500);
+      const std::string name = absl::StrCat("i", instance_index);
+      const std::string peer = absl::StrCat("i", peer_index);
+      const LinkFault fault = fault_index < 3    ? LinkFault::kRefused
+                              : fault_index == 3 ? LinkFault::kSilent
+                                                 : LinkFault::kAnswersLost;
+      // Null while the instance does not run.
+      LeadershipCluster::Instance* const instance = cluster.Find(name);
+      FakeDatabase& database = cluster.m_databases.at(
+          absl::StrCat("g", group_index, "-db", database_index));
+      const auto set_links = [&](const std::string& other,
+                                 std::optional<LinkFault> present) {
+        if (direction != 0) {
+          set_link(name, other, present);
+        }
+        if (direction != 1) {
+          set_link(other, name, present);
+        }
+      };
+      switch (action) {
+        case 0:
+        case 1:
+          set_links(peer, fault);
+          break;
+        case 2:
+        case 3:
+        case 4:
+          for (uint32_t index = 0; index < instances; ++index) {
+            set_links(absl::StrCat("i", index), fault);
+          }
+          if (instance != nullptr && loses_store) {
+            instance->store.SetDown(true);
+          }
+          break;
+        case 5:
+          for (uint32_t index = 0; index < instances; ++index) {
+            set_links(absl::StrCat("i", index), std::nullopt);
+          }
+          break;
+        case 6:
+          if (instance != nullptr) {
+            instance->store.SetDown(true);
+          }
+          break;
+        case 7:
+          if (instance != nullptr) {
+            instance->store.SetDown(false);
+          }
+          break;
+        case 8:
+          if (instance != nullptr) {
+            cluster.Kill(name);
+            cluster.m_loop.Add(
+                absl::Milliseconds(restart_ms),
+                [&cluster, name]() { cluster.AddInstance(name); });
+          }
+          break;
+        case 9:
+          database.alive = !database.alive;
+          break;
+        default:
+          database.draining = !database.draining;
+          break;
+      }
+      cluster.RunFor(absl::Milliseconds(pause_ms));
+    }
+    // Once the faults end, all instances agree on one primary.
+    cluster.link_faults.clear();
+    cluster.RunFor(absl::Seconds(4));
+    for (auto& [id, database] : cluster.m_databases) {
+      database.alive = true;
+      database.draining = false;
+    }
+    for (uint32_t index = 0; index < instances; ++index) {
+      cluster.At(index).store.SetDown(false);
+    }
+    cluster.RunFor(absl::Seconds(40));
+    for (uint32_t group_index = 0; group_index < kGroups; ++group_index) {
+      const GroupName group = absl::StrCat("g", group_index);
+      const std::optional<TargetId> primary =
+          cluster.At(0).Manager().UsablePrimary(group);
+      REQUIRE(primary.has_value());
+      CHECK(cluster.AllUse(group, *primary));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace heatherwick
