--- a/Tests/gateway/fake_row_store.h
+++ b/Tests/gateway/fake_row_store.h
@@ -86,6 +86,8 @@
   }
   // Delays the answers to polls by `delay`.
   void SetPollDelay(absl::Duration delay) { m_poll_delay = delay; }
+  // Makes the times of polls too new by `error`, but not later than the answer.
+  void SetAsOfError(absl::Duration error) { m_as_of_error = error; }
   // Makes the next poll fail because the store no longer has the changes that
   // the poll asks for.
   void ForgetHistory() { m_history_lost = true; }
@@ -173,7 +175,7 @@
     RowChanges changes;
     changes.rows = m_table->RowsAfter(VersionNumber(after), true);
     changes.version = m_table->QualifiedVersion();
-    changes.as_of = m_loop->Now();
+    changes.as_of = m_loop->Now() + std::min(m_as_of_error, m_poll_delay);
     if (m_down) {
       m_loop->Add(limit - m_loop->Now() + absl::Milliseconds(400),
                   [done]() { done(Unreachable()); });
@@ -189,12 +191,43 @@
   VirtualLoop* const m_loop;
   FakeTable* const m_table;
   absl::Duration m_poll_delay;
+  absl::Duration m_as_of_error;
   absl::Duration m_commit_answer_delay;
   bool m_down = false;
   bool m_history_lost = false;
   std::optional<absl::Duration> m_lose_after;
 };
 
+// Delivers the answers of another store on a process's loop.
+class ProcessRowStore : public RowStore {
+ public:
+  ProcessRowStore(ProcessLoop* loop, RowStore* store)
+      : m_loop(loop), m_store(store) {}
+
+  void ReadTable(const std::string& table,
+                 absl::Duration timeout,
+                 std::function<void(Result<RowChanges>)> done) override {
+    m_store->ReadTable(table, timeout, m_loop->Delivering(std::move(done)));
+  }
+  void PollChanges(const std::string& table,
+                   uint64_t after,
+                   absl::Duration wait,
+                   absl::Duration timeout,
+                   std::function<void(Result<RowChanges>)> done) override {
+    m_store->PollChanges(table, after, wait, timeout,
+                         m_loop->Delivering(std::move(done)));
+  }
+  void Commit(const RowTransaction& transaction,
+              absl::Duration timeout,
+              std::function<void(Result<uint64_t>)> done) override {
+    m_store->Commit(transaction, timeout, m_loop->Delivering(std::move(done)));
+  }
+
+ private:
+  ProcessLoop* const m_loop;
+  RowStore* const m_store;
+};
+
 }  // namespace heatherwick
 
 #endif  // TESTS_GATEWAY_FAKE_ROW_STORE_H_
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -81,11 +82,13 @@
              uint64_t incarnation)
         : m_cluster(cluster),
           m_name(name),
+          m_loop(&cluster->m_loop),
           store(&cluster->m_loop, &cluster->m_table),
+          m_process_store(&m_loop, &store),
           m_manager(std::make_unique<LeadershipManager>(
               LeadershipSettings{name, incarnation, name, "dc", 1},
-              &cluster->m_loop,
-              &store,
+              &m_loop,
+              &m_process_store,
               cluster,
               this,
               this)) {
@@ -98,6 +101,22 @@
     void Stop() { m_manager.reset(); }
     LeadershipManager& Manager() { return *m_manager; }
 
+    // The process stands still, and its loop runs nothing.
+    void StandStill() { m_loop.StandStill(); }
+    // Handles all that has waited, in random order.
+    void GoOn(std::mt19937* random) {
+      std::vector<std::function<void()>> waiting = m_loop.GoOn();
+      while (!waiting.empty()) {
+        const size_t next = (*random)() % waiting.size();
+        std::swap(waiting[next], waiting.back());
+        const std::function<void()> task = std::move(waiting.back());
+        waiting.pop_back();
+        task();
+        m_cluster->CheckAcknowledgements();
+      }
+    }
+    ProcessLoop& Loop() { return m_loop; }
+
     std::vector<GroupName> Groups() const override {
       std::set<GroupName> names;
       for (const auto& [id, database] : m_cluster->m_databases) {
@@ -146,8 +165,9 @@
                     ? std::optional(database.status)
                     : std::nullopt;
             // The answer is on its way, or the instance does not run.
-            m_cluster->m_loop.Add(status_delay,
-                                  [status, done]() { done(status); });
+            m_cluster->m_loop.Add(status_delay, [this, status, done]() {
+              m_loop.Deliver([status, done]() { done(status); });
+            });
           });
     }
     uint32_t SyncReplicas(const GroupName&) const override {
@@ -165,7 +185,7 @@
       }
       m_cluster->m_loop.Add(
           planned ? absl::Milliseconds(200) : absl::ZeroDuration(),
-          std::move(done));
+          [this, done = std::move(done)]() { m_loop.Deliver(done); });
     }
     void OnLeaderChanged(const GroupName&) override {}
 
@@ -183,17 +203,30 @@
           (peer == nullptr && fault != LinkFault::kSilent) ||
           (peer != nullptr && peer->refused)) {
         done(Error{ErrorKind::kNotFound, "refused", ""});
-      } else if (!arrives || fault) {
-        if (arrives) {
-          (void)peer->Manager().Vouch(query);
+        return;
+      }
+      auto ended = std::make_shared<bool>(false);
+      const auto end_with = [this, ended,
+                             done](const Result<VouchResponse>& result) {
+        if (!std::exchange(*ended, true)) {
+          m_loop.Deliver([done, result]() { done(result); });
         }
-        m_cluster->m_loop.Add(timeout, [done]() {
-          done(Error{ErrorKind::kUnavailable, "no answer", ""});
-        });
-      } else {
-        const VouchResponse answer = peer->Manager().Vouch(query);
-        m_cluster->m_loop.Add(absl::Milliseconds(3),
-                              [done, answer]() { done(answer); });
+      };
+      m_cluster->m_loop.Add(timeout, [end_with]() {
+        end_with(Error{ErrorKind::kUnavailable, "no answer", ""});
+      });
+      if (arrives) {
+        peer->m_loop.Deliver(
+            [cluster = m_cluster, peer, query, fault, end_with]() {
+              if (peer->m_manager == nullptr) {
+                return;
+              }
+              const VouchResponse answer = peer->Manager().Vouch(query);
+              if (!fault) {
+                cluster->m_loop.Add(absl::Milliseconds(3),
+                                    [end_with, answer]() { end_with(answer); });
+              }
+            });
       }
     }
 
@@ -225,6 +258,7 @@
    private:
     LeadershipCluster* const m_cluster;
     const std::string m_name;
+    ProcessLoop m_loop;
     mutable std::map<TargetId, absl::Time> m_contacts;
 
    public:
@@ -238,6 +272,7 @@
     bool hold_quiesce = false;    // Its statements at the primary never end.
 
    private:
+    ProcessRowStore m_process_store;
     std::unique_ptr<LeadershipManager> m_manager;
   };
 
@@ -285,6 +320,11 @@
                                       : std::optional(found->second);
   }
 
+  // The primary of the group's newest term.
+  const TargetId& Leading(const GroupName& group) const {
+    return m_leading.at(group);
+  }
+
   Instance* Find(const std::string& name) {
     const auto found = m_instances.find(name);
     return found == m_instances.end() ? nullptr : found->second.get();
@@ -297,12 +337,18 @@
     const absl::Time end = m_loop.Now() + time;
     while (m_loop.Now() < end) {
       for (const auto& [name, instance] : m_instances) {
-        instance->ReportUnresponsivePrimaries();
+        if (!instance->Loop().StandsStill()) {
+          instance->ReportUnresponsivePrimaries();
+        }
       }
       m_loop.RunFor(absl::Milliseconds(50));
-      for (const auto& [group, leading] : m_leading) {
-        CheckAcknowledgements(group);
-      }
+      CheckAcknowledgements();
+    }
+  }
+
+  void CheckAcknowledgements() {
+    for (const auto& [group, leading] : m_leading) {
+      CheckAcknowledgements(group);
     }
   }
 
@@ -372,7 +418,9 @@
       answer = Error{ErrorKind::kConflict, "the target does not run", ""};
     }
     m_loop.Add(fate.answered ? absl::Milliseconds(5) : timeout,
-               [answer, done = std::move(done)]() { done(answer); });
+               [answer, done = std::move(done), sender = Find(holder)]() {
+                 sender->Loop().Deliver([answer, done]() { done(answer); });
+               });
   }
 
   // Returns true if every instance uses `target` as the group's primary.
