tests: Let no catch-up of a replica hide leases that last too long

Planned changes waited 1.5 s for a replica to catch up before they sent the order, which hid errors of up to that time. Replicas of the directed tests for late readings and removed members now have the whole log.

--- a/Tests/gateway/refused_peers_test.cc
+++ b/Tests/gateway/refused_peers_test.cc
@@ -250,6 +250,9 @@
       CAPTURE(cut_ms);
       LeadershipCluster cluster(3, 2);
       cluster.RunFor(absl::Seconds(3));
+      // No change waits for a replica to catch up.
+      cluster.m_databases["g0-db1"].status.received = {1, 10};
+      cluster.m_databases["g1-db1"].status.received = {1, 10};
       cluster.At(0).store.SetPollDelay(absl::Milliseconds(late_ms));
       cluster.At(0).store.SetAsOfError(absl::Milliseconds(90));
       cluster.RunFor(absl::Seconds(3));
@@ -408,6 +411,9 @@
       CAPTURE(refuses);
       CAPTURE(return_ms);
       LeadershipCluster cluster(4, 3);
+      for (const char* replica : {"g0-db1", "g1-db1", "g2-db1"}) {
+        cluster.m_databases[replica].status.received = {1, 10};
+      }
       cluster.RunFor(absl::Seconds(3));
       LeadershipCluster::Instance& member = cluster.At(0);
       member.store.SetDown(true);
