--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -46,6 +47,13 @@
   bool not_sent = false;  // The sender could not connect.
 };
 
+// What happens to calls of one instance to another.
+enum class LinkFault {
+  kRefused,      // The connection is refused, as if no process ran.
+  kSilent,       // The call does not arrive, and the caller is not told.
+  kAnswersLost,  // The call arrives, but its answer does not.
+};
+
 class LeadershipCluster : public PromotionApi {
  public:
   static constexpr absl::Duration kPromotionTime = absl::Milliseconds(1000);
@@ -73,11 +81,14 @@
              const std::string& name,
              uint64_t incarnation)
         : m_cluster(cluster),
+          m_name(name),
+          m_loop(&cluster->m_loop),
           store(&cluster->m_loop, &cluster->m_table),
+          m_process_store(&m_loop, &store),
           m_manager(std::make_unique<LeadershipManager>(
               LeadershipSettings{name, incarnation, name, "dc", 1},
-              &cluster->m_loop,
-              &store,
+              &m_loop,
+              &m_process_store,
               cluster,
               this,
               this)) {
@@ -91,6 +102,22 @@
     void Stop() { m_manager.reset(); }
     LeadershipManager& Manager() { return *m_manager; }
 
+    // The process stands still, and its loop runs nothing.
+    void StandStill() { m_loop.StandStill(); }
+    // Handles all that has waited, in random order.
+    void GoOn(std::mt19937* random) {
+      std::vector<std::function<void()>> waiting = m_loop.GoOn();
+      while (!waiting.empty()) {
+        const size_t next = (*random)() % waiting.size();
+        std::swap(waiting[next], waiting.back());
+        const std::function<void()> task = std::move(waiting.back());
+        waiting.pop_back();
+        task();
+        m_cluster->CheckAcknowledgements();
+      }
+    }
+    ProcessLoop& Loop() { return m_loop; }
+
     std::vector<GroupName> Groups() const override {
       std::set<GroupName> names;
       for (const auto& [id, database] : m_cluster->m_databases) {
@@ -139,8 +166,9 @@
                     ? std::optional(database.status)
                     : std::nullopt;
             // The answer is on its way, or the instance does not run.
-            m_cluster->m_loop.Add(status_delay,
-                                  [status, done]() { done(status); });
+            m_cluster->m_loop.Add(status_delay, [this, status, done]() {
+              m_loop.Deliver([status, done]() { done(status); });
+            });
           });
     }
     uint32_t SyncReplicas(const GroupName&) const override {
@@ -158,7 +186,7 @@
       }
       m_cluster->m_loop.Add(
           planned ? absl::Milliseconds(200) : absl::ZeroDuration(),
-          std::move(done));
+          [this, done = std::move(done)]() { m_loop.Deliver(done); });
     }
     void OnLeaderChanged(const GroupName&) override {}
 
@@ -167,16 +195,39 @@
                absl::Duration timeout,
                std::function<void(Result<VouchResponse>)> done) override {
       Instance* const peer = m_cluster->Find(address);
-      if (peer == nullptr || refused || peer->refused) {
+      const std::optional<LinkFault> fault =
+          m_cluster->FaultOf(m_name, address);
+      const bool arrives =
+          peer != nullptr && (!fault || fault == LinkFault::kAnswersLost) &&
+          !isolated && !peer->isolated && partition == peer->partition;
+      if (fault == LinkFault::kRefused || refused ||
+          (peer == nullptr && fault != LinkFault::kSilent) ||
+          (peer != nullptr && peer->refused)) {
         done(Error{ErrorKind::kNotFound, "refused", ""});
-      } else if (isolated || peer->isolated || partition != peer->partition) {
-        m_cluster->m_loop.Add(timeout, [done]() {
-          done(Error{ErrorKind::kUnavailable, "no answer", ""});
-        });
-      } else {
-        const VouchResponse answer = peer->Manager().Vouch(query);
-        m_cluster->m_loop.Add(absl::Milliseconds(3),
-                              [done, answer]() { done(answer); });
+        return;
+      }
+      auto ended = std::make_shared<bool>(false);
+      const auto end_with = [this, ended,
+                             done](const Result<VouchResponse>& result) {
+        if (!std::exchange(*ended, true)) {
+          m_loop.Deliver([done, result]() { done(result); });
+        }
+      };
+      m_cluster->m_loop.Add(timeout, [end_with]() {
+        end_with(Error{ErrorKind::kUnavailable, "no answer", ""});
+      });
+      if (arrives) {
+        peer->m_loop.Deliver(
+            [cluster = m_cluster, peer, query, fault, end_with]() {
+              if (peer->m_manager == nullptr) {
+                return;
+              }
+              const VouchResponse answer = peer->Manager().Vouch(query);
+              if (!fault) {
+                cluster->m_loop.Add(absl::Milliseconds(3),
+                                    [end_with, answer]() { end_with(answer); });
+              }
+            });
       }
     }
 
@@ -207,6 +258,8 @@
 
    private:
     LeadershipCluster* const m_cluster;
+    const std::string m_name;
+    ProcessLoop m_loop;
     mutable std::map<TargetId, absl::Time> m_contacts;
 
    public:
@@ -220,6 +273,7 @@
     bool hold_quiesce = false;    // Its statements at the primary never end.
 
    private:
+    ProcessRowStore m_process_store;
     std::unique_ptr<LeadershipManager> m_manager;
   };
 
@@ -260,6 +314,18 @@
     }
   }
 
+  std::optional<LinkFault> FaultOf(const std::string& from,
+                                   const std::string& to) const {
+    const auto found = link_faults.find({from, to});
+    return found == link_faults.end() ? std::nullopt
+                                      : std::optional(found->second);
+  }
+
+  // The primary of the group's newest term.
+  const TargetId& Leading(const GroupName& group) const {
+    return m_leading.at(group);
+  }
+
   Instance* Find(const std::string& name) {
     const auto found = m_instances.find(name);
     return found == m_instances.end() ? nullptr : found->second.get();
@@ -272,12 +338,18 @@
     const absl::Time end = m_loop.Now() + time;
     while (m_loop.Now() < end) {
       for (const auto& [name, instance] : m_instances) {
-        instance->ReportUnresponsivePrimaries();
+        if (!instance->Loop().StandsStill()) {
+          instance->ReportUnresponsivePrimaries();
+        }
       }
       m_loop.RunFor(absl::Milliseconds(50));
-      for (const auto& [group, leading] : m_leading) {
-        CheckAcknowledgements(group);
-      }
+      CheckAcknowledgements();
+    }
+  }
+
+  void CheckAcknowledgements() {
+    for (const auto& [group, leading] : m_leading) {
+      CheckAcknowledgements(group);
     }
   }
 
@@ -347,7 +419,9 @@
       answer = Error{ErrorKind::kConflict, "the target does not run", ""};
     }
     m_loop.Add(fate.answered ? absl::Milliseconds(5) : timeout,
-               [answer, done = std::move(done)]() { done(answer); });
+               [answer, done = std::move(done), sender = Find(holder)]() {
+                 sender->Loop().Deliver([answer, done]() { done(answer); });
+               });
   }
 
   // Returns true if every instance uses `target` as the group's primary.
@@ -373,6 +447,8 @@
   // when the order arrives, or when it takes effect.
   bool decided_when_ordered = false;
   size_t wrong_acknowledgements = 0;
+  // By the caller and the instance that is called. Other links work.
+  std::map<std::pair<std::string, std::string>, LinkFault> link_faults;
   absl::Duration poll_delay;  // Used by instances that are added later.
   // Instances that are added later start while the store does not answer them.
   bool starts_without_store = false;
