models: Count only a member's own answer in lease.pml

Change: only an answer agrees; an ended member gives none. With IN_PLACE, instance 2 is instance 0 started again: it runs and answers before it has read the store or written its member row, and without a reading it agrees only under a continuous lease. Before, it ran only once its row was written, and its unread row 0 counted as a row that it knows.

NO_OWN_ANSWER lets a running member agree without an answer and is violated in lease_unanimity.

An ended instance's variables are cleared, as every use of them asks whether it runs; its confirmation and its transaction stay.

--- a/Tests/models/lease.pml
+++ b/Tests/models/lease.pml
@@ -4,9 +4,10 @@
  * that carries it out is the change's holder.
  *
  * Instances 0 and 1 are members from the start. Instance 2 joins later, either
- * at a new address or, with IN_PLACE, at the address of instance 0 after instance
- * 0 has ended. Instance 1 neither starts a change nor ends, because exchanging the
- * roles of instances 0 and 1 would lead to equivalent states.
+ * at a new address or, with IN_PLACE, as instance 0 started again: it answers at
+ * that address and under that name, and may read the store and write its member
+ * row at any later time. Instance 1 neither starts a change nor ends, because
+ * exchanging the roles of instances 0 and 1 would lead to equivalent states.
  *
  * No step is forced, so an instance may be paused, cut off or unresponsive at
  * any point, and an answer of the store may be lost. A transaction that its sender
@@ -81,7 +82,7 @@
 
 /* Instances. */
 bool alive[3];
-bool started[3];
+bool registered[3];          /* It has written its member row. */
 byte reading[3];             /* Version at the last read of the store. */
 byte known[3];               /* Version whose leader row the instance knows. */
 byte as_of[3];               /* Time from which the lease counts. */
@@ -309,19 +310,32 @@
 #define WITHIN_LIMIT(i) (round_at[i] <= true_as_of[i] + UNANIMITY)
 #endif
 
-/* The process that answers at the address of member m_. */
+/* The process that answers as member m_. */
 #ifdef IN_PLACE
-#define AT(m_) ((m_) == 0 && started[2] -> 2 : (m_))
+#define AT(m_) ((m_) == 0 && alive[2] -> 2 : (m_))
 #else
 #define AT(m_) (m_)
 #endif
 
+/* It has neither read the store nor learnt of a leader row. */
+#define HAS_READ_NOTHING(i) (as_of[i] == 0 && known[i] == 0)
+
+/* Only a member's own answer counts. A member that has ended gives none, nor
+ * does one that runs but whose connections are refused. */
+#ifdef NO_OWN_ANSWER
+#define REFUSED_AGREES(i, j_) (alive[j_] && STILL_LEASED(i))
+#else
+#define REFUSED_AGREES(i, j_) false
+#endif
+#define ANSWER_AGREES(i, j_)                                  \
+  (alive[j_] && store_unreachable[j_] && task[j_] == 0 &&     \
+   ((!HAS_READ_NOTHING(j_) && SAME_ROW(i, j_)) ||             \
+    (HAS_READ_NOTHING(j_) && STILL_LEASED(i))))
+
 inline agree(i, m_) {
   if
-  :: alive[AT(m_)] && store_unreachable[AT(m_)] && task[AT(m_)] == 0 &&
-     SAME_ROW(i, AT(m_)) ->
+  :: ANSWER_AGREES(i, AT(m_)) || REFUSED_AGREES(i, AT(m_)) ->
     agreeing[i] = agreeing[i] | BIT(m_)
-  :: !alive[AT(m_)] && STILL_LEASED(i) -> agreeing[i] = agreeing[i] | BIT(m_)
   fi
 }
 
@@ -395,7 +409,7 @@
     atomic {
       j = 0;
       do
-      :: j < 3 && j != i && !CONFIRMED(i, j) && started[j] &&
+      :: j < 3 && j != i && !CONFIRMED(i, j) && registered[j] &&
          confirmed[j] >= task_epoch[i] ->
         confirmed_by[i] = confirmed_by[i] | BIT(j);
         if
@@ -468,20 +482,39 @@
       j = 0
     }
 
+  /* It ends. Its confirmation and its transaction may still be in flight. The
+   * rest is cleared, as only a running instance uses it. */
   :: KILLS && alive[i] && i == 0 -> atomic {
       alive[i] = false;
-      task[i] = 0;
+      store_unreachable[i] = false;
+      reading[i] = 0;
+      known[i] = 0;
+      as_of[i] = 0;
+      true_as_of[i] = 0;
+      usable_until[i] = 0;
+      duty_seen[i] = 0;
+      leader_seen[i] = 0;
       round_at[i] = 0;
-      agreeing[i] = 0
+      agreeing[i] = 0;
+      task[i] = 0;
+      task_epoch[i] = 0;
+      task_version[i] = 0;
+      change_seen[i] = 0;
+      expired[i] = 0;
+      confirmed_by[i] = 0;
+      first_confirmed_at[i] = 0;
+      token[i] = 0;
+      token_since[i] = 0;
+      sent_at[i] = 0
     }
   fi
 }
 
 #ifdef IN_PLACE
-#define MAY_JOIN !alive[0]
+#define MAY_REGISTER alive[2]
 #define REPLACED 1
 #else
-#define MAY_JOIN true
+#define MAY_REGISTER true
 #define REPLACED 0
 #endif
 
@@ -494,22 +527,29 @@
     as_of[1] = LEASE;
     true_as_of[0] = LEASE * WITH_UNANIMITY;
     true_as_of[1] = LEASE * WITH_UNANIMITY;
-    started[0] = true;
-    started[1] = true
+    registered[0] = true;
+    registered[1] = true
   };
   do
   :: now < LEASE + TICKS -> now++
   :: step(0)
   :: step(1)
   :: step(2)
+#ifdef IN_PLACE
+  /* Instance 0 starts again. */
+  :: JOINS && !alive[0] && !alive[2] ->
+    atomic { alive[2] = true; store_unreachable[2] = true }
+#endif
   /* Instance 2 joins. */
-  :: JOINS && !started[2] && version < VERSIONS - 1 && MAY_JOIN ->
+  :: JOINS && !registered[2] && version < VERSIONS - 1 && MAY_REGISTER ->
     atomic {
       store_next();
       mem[version] = (mem[version] & ~REPLACED) | 4;
-      started[2] = true;
+      registered[2] = true;
+#ifndef IN_PLACE
       alive[2] = true;
       store_unreachable[2] = true
+#endif
     }
   od
 }
