soak: Begin in later terms, pause instances for long and lose power

The users' runs begin with databases that have a history, stop instances for longer than our faults last, and start everything anew after a loss of power. The soak had none of these.

--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -310,11 +310,14 @@
     : m_service(std::move(service)),
       m_store(store),
       m_options(options),
-      m_route(std::move(route)) {
+      m_route(std::move(route)),
+      m_term(options.first_term) {
   absl::MutexLock lock(&m_mutex);
   for (size_t index = 0; index < databases; ++index) {
     const std::string id = absl::StrCat(m_service, "-", index);
     Database& database = m_databases[id];
+    database.term = m_term;
+    database.log_offset = m_term;
     database.server = std::make_unique<LoopbackServer>(
         [this, id](tcp::socket socket) { Serve(id, std::move(socket)); });
     if (index == 0) {
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -164,6 +164,9 @@
   // From the promotion to the end of the old primary's writes, if the new
   // primary runs then.
   absl::Duration demotion_delay = absl::Seconds(1);
+  // The term that the databases begin in. Their logs have one entry for each
+  // term up to it.
+  uint64_t first_term = 1;
 };
 
 // A group of databases with asynchronous replication, terms and promotion. A
@@ -215,9 +218,9 @@
     bool alive = true;
     bool draining = false;
     bool is_primary = false;
-    uint64_t term = 1;        // The term that it leads or follows.
+    uint64_t term = 0;        // The term that it leads or follows.
     std::vector<size_t> log;  // Indices into m_commits.
-    uint64_t log_offset = 1;  // Position just before the first entry.
+    uint64_t log_offset = 0;  // Position just before the first entry.
     std::map<std::string, std::string> items;
   };
 
@@ -259,7 +262,7 @@
   absl::Mutex m_mutex;
   std::map<std::string, Database> m_databases;
   std::string m_primary;  // The primary of the newest term.
-  uint64_t m_term = 1;
+  uint64_t m_term;
   std::vector<FakeCommit> m_commits;
   std::vector<FakeStatement> m_statements;
   std::vector<FakeRun> m_runs;
--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -43,7 +43,7 @@
       {"store-returns", 'c', POPT_ARG_NONE, &store_returns, 0,
        "Let the store return from copies that are some seconds old.", nullptr},
       {"peer-links", 'k', POPT_ARG_NONE, &peer_links, 0,
-       "Disturb the connections between instances, and cut instances off.",
+       "Disturb links between instances, pause some, end with a power loss.",
        nullptr},
       {"calm", 'q', POPT_ARG_NONE, &calm, 0,
        "Inject only what the other options ask for.", nullptr},
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "Tests/platform/soak/pause_draws.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -71,6 +72,10 @@
 constexpr uint32_t kMaxLongLinkFaultMs = 25000;
 constexpr uint32_t kMaxTimeToLinkFaultMs = 3000;
 
+// With these faults: the term that the first group begins in; each other group
+// begins in the next one.
+constexpr uint64_t kFirstTerm = 3;
+
 // Kinds of the faults of an instance.
 enum InstanceFault : uint32_t { kKill, kTerminate, kPause, kHangUp };
 
@@ -239,15 +244,17 @@
 }
 
 void Soak::AddGroup(const std::string& name) {
-  m_groups.push_back(new FakeDatabaseGroup(
-      name, kDatabaseCount, m_store, {kReplicaLag, absl::ZeroDuration()},
-      [this](const std::string& address) {
-        FaultProxy*& link = m_database_links[address];
-        if (link == nullptr) {
-          link = new FaultProxy(address);
-        }
-        return link->Address();
-      }));
+  FakeGroupOptions options{kReplicaLag, absl::ZeroDuration()};
+  options.first_term = m_options.peer_links ? kFirstTerm + m_groups.size() : 1;
+  m_groups.push_back(
+      new FakeDatabaseGroup(name, kDatabaseCount, m_store, options,
+                            [this](const std::string& address) {
+                              FaultProxy*& link = m_database_links[address];
+                              if (link == nullptr) {
+                                link = new FaultProxy(address);
+                              }
+                              return link->Address();
+                            }));
 }
 
 std::vector<FakeCommit> Soak::Commits() {
@@ -444,6 +451,9 @@
 void Soak::InjectInstanceFault(InstanceProcess* instance,
                                uint32_t kind,
                                absl::Time end) {
+  if (instance == m_long_paused) {
+    return;
+  }
   switch (kind) {
     case kKill:
       PrintEvent(absl::StrCat("kill ", instance->Name()));
@@ -456,8 +466,11 @@
     case kPause:
       PrintEvent(absl::StrCat("pause ", instance->Name()));
       instance->Signal(SIGSTOP);
-      m_scheduled_ends.push_back(
-          {end, [instance]() { instance->Signal(SIGCONT); }});
+      m_scheduled_ends.push_back({end, [this, instance]() {
+                                    if (instance != m_long_paused) {
+                                      instance->Signal(SIGCONT);
+                                    }
+                                  }});
       break;
     default:
       PrintEvent(absl::StrCat("hang up ", instance->Name()));
@@ -616,6 +629,41 @@
   return end;
 }
 
+absl::Time Soak::PauseForLong() {
+  InstanceProcess* const instance =
+      m_instances[m_link_random() % m_instances.size()].get();
+  const absl::Duration pause = DrawTime(kLongPause, &m_link_random);
+  const absl::Time end = SteadyNow() + pause;
+  PrintEvent(absl::StrCat("pause ", instance->Name(), " for ",
+                          absl::ToInt64Milliseconds(pause), " ms"));
+  instance->Signal(SIGSTOP);
+  m_long_paused = instance;
+  m_scheduled_ends.push_back({end, [this, instance]() {
+                                PrintEvent(
+                                    absl::StrCat(instance->Name(), " goes on"));
+                                m_long_paused = nullptr;
+                                instance->Signal(SIGCONT);
+                              }});
+  return end;
+}
+
+void Soak::LosePower() {
+  PrintEvent("the power is lost");
+  const absl::Duration down = DrawTime(kTimeWithoutPower, &m_link_random);
+  KillInstances(0, m_instances.size(), down);
+  for (FakeDatabaseGroup* const group : m_groups) {
+    for (const std::string& id : group->Names()) {
+      CrashDatabase(group, id,
+                    SteadyNow() + DrawTime(kTimeWithoutPower, &m_link_random));
+    }
+  }
+  while (!m_scheduled_ends.empty()) {
+    EndFaults(SteadyNow());
+    RestartExitedInstances();
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+}
+
 void Soak::ReturnStore() {
   const absl::Duration age =
       absl::Milliseconds(m_return_random() % kMaxCopyAgeMs);
@@ -761,7 +809,12 @@
   absl::Time next_return = next_copy + absl::Milliseconds(kMinTimeToReturnMs);
   absl::Time next_link_fault =
       m_options.peer_links ? SteadyNow() : absl::InfiniteFuture();
+  absl::Time next_long_pause = next_link_fault;
   while (SteadyNow() < end) {
+    if (SteadyNow() >= next_long_pause) {
+      next_long_pause =
+          PauseForLong() + DrawTime(kTimeToLongPause, &m_link_random);
+    }
     if (SteadyNow() >= next_link_fault) {
       next_link_fault =
           DisturbPeerLinks() +
@@ -810,6 +863,9 @@
   if (m_options.workspaces > 0) {
     RestoreKeys();
   }
+  if (m_options.peer_links) {
+    LosePower();
+  }
   PrintEvent("all faults are over");
   if (!WaitForRecovery()) {
     m_violations.push_back("not all callers were served again in time");
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -40,8 +40,9 @@
   bool orders_late = false;
   // The store returns from copies that are some seconds old.
   bool store_returns = false;
-  // Disturbs the connections between instances, and cuts instances off from
-  // their peers and the store.
+  // Disturbs the connections between instances, cuts instances off from their
+  // peers and the store, pauses single ones for long, and ends with a loss of
+  // power. The groups begin in later terms.
   bool peer_links = false;
   // Injects only what the other options ask for.
   bool calm = false;
@@ -96,6 +97,12 @@
   // Disturbs the way to the peers of a random instance, mostly together with
   // its way to the store. Returns when the links are restored.
   absl::Time DisturbPeerLinks();
+  // Pauses a random instance for long. Random faults of instances spare it
+  // meanwhile. Returns when it goes on.
+  absl::Time PauseForLong();
+  // Ends all instances and databases at the same moment, and returns when all
+  // databases run again.
+  void LosePower();
   // Lets the store return from a copy, sometimes after it was away.
   void ReturnStore();
   // Prints how long the groups and the callers took no writes after returns.
@@ -152,6 +159,8 @@
   std::mt19937 m_return_random;
   // Not m_random, whose draws stay the same without faults of these links.
   std::mt19937 m_link_random;
+  // The instance that is paused for long, or nullptr.
+  const InstanceProcess* m_long_paused = nullptr;
   std::vector<absl::Time> m_returns;
   std::map<std::string, std::string> m_keys;  // Each key's present workspace.
   WorkspaceHistory m_workspace_history;
