--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -25,6 +25,7 @@
   int orders_late = 0;
   int store_returns = 0;
   int peer_links = 0;
+  int long_faults = 0;
   int calm = 0;
   const poptOption table[] = {
       {"seed", 's', POPT_ARG_INT, &options->seed, 0, "Seed of the faults.",
@@ -43,8 +44,10 @@
       {"store-returns", 'c', POPT_ARG_NONE, &store_returns, 0,
        "Let the store return from copies that are some seconds old.", nullptr},
       {"peer-links", 'k', POPT_ARG_NONE, &peer_links, 0,
-       "Disturb links between instances, pause some, end with a power loss.",
+       "Disturb the connections between instances, and cut instances off.",
        nullptr},
+      {"long-faults", 'f', POPT_ARG_NONE, &long_faults, 0,
+       "Pause instances for long, and end with a loss of power.", nullptr},
       {"calm", 'q', POPT_ARG_NONE, &calm, 0,
        "Inject only what the other options ask for.", nullptr},
       {"workspaces", 'w', POPT_ARG_INT, &options->workspaces, 0,
@@ -60,6 +63,7 @@
   options->orders_late = orders_late != 0;
   options->store_returns = store_returns != 0;
   options->peer_links = peer_links != 0;
+  options->long_faults = long_faults != 0;
   options->calm = calm != 0;
   free(program);
   if (parsed < -1) {
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -72,7 +72,7 @@
 constexpr uint32_t kMaxLongLinkFaultMs = 25000;
 constexpr uint32_t kMaxTimeToLinkFaultMs = 3000;
 
-// With these faults: the term that the first group begins in; each other group
+// With long faults: the term that the first group begins in; each other group
 // begins in the next one.
 constexpr uint64_t kFirstTerm = 3;
 
@@ -245,7 +245,7 @@
 
 void Soak::AddGroup(const std::string& name) {
   FakeGroupOptions options{kReplicaLag, absl::ZeroDuration()};
-  options.first_term = m_options.peer_links ? kFirstTerm + m_groups.size() : 1;
+  options.first_term = m_options.long_faults ? kFirstTerm + m_groups.size() : 1;
   m_groups.push_back(
       new FakeDatabaseGroup(name, kDatabaseCount, m_store, options,
                             [this](const std::string& address) {
@@ -809,7 +809,8 @@
   absl::Time next_return = next_copy + absl::Milliseconds(kMinTimeToReturnMs);
   absl::Time next_link_fault =
       m_options.peer_links ? SteadyNow() : absl::InfiniteFuture();
-  absl::Time next_long_pause = next_link_fault;
+  absl::Time next_long_pause =
+      m_options.long_faults ? SteadyNow() : absl::InfiniteFuture();
   while (SteadyNow() < end) {
     if (SteadyNow() >= next_long_pause) {
       next_long_pause =
@@ -863,7 +864,7 @@
   if (m_options.workspaces > 0) {
     RestoreKeys();
   }
-  if (m_options.peer_links) {
+  if (m_options.long_faults) {
     LosePower();
   }
   PrintEvent("all faults are over");
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -40,10 +40,12 @@
   bool orders_late = false;
   // The store returns from copies that are some seconds old.
   bool store_returns = false;
-  // Disturbs the connections between instances, cuts instances off from their
-  // peers and the store, pauses single ones for long, and ends with a loss of
-  // power. The groups begin in later terms.
+  // Disturbs the connections between instances, and cuts instances off from
+  // their peers and the store.
   bool peer_links = false;
+  // Pauses single instances for long, and ends with a loss of power. The groups
+  // begin in later terms.
+  bool long_faults = false;
   // Injects only what the other options ask for.
   bool calm = false;
   // Workspaces with two keys each, of which all but the first have a quota. 0
