review: Record how many instances report ready in case 6

Cause: the claim says that all report ready; the record did not show it.

Change: a count of ready instances each second.

--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -673,10 +673,12 @@
   for (int second = 0; second < 35; ++second) {
     SleepMs(1000);
     std::string text = "memory";
+    int ready = 0;
     for (Instance* instance : pointers) {
       text += " " + std::to_string(instance->MemoryMb());
+      ready += instance->Ready() ? 1 : 0;
     }
-    Record(text + " MB");
+    Record(text + " MB, ready " + std::to_string(ready));
   }
   const int64_t end = NowMs() - kDeadlineMs;
   for (const auto& session : sessions) {
