review: Keep the ports of closed stand-ins free

Cause: a database listened at a port that the system also gives to outgoing connections.

Change: ports below those of outgoing connections.

--- a/review/standin-2/support.cc
+++ b/review/standin-2/support.cc
@@ -163,7 +163,7 @@
 }
 
 Listener::Listener(Serve serve, void* context)
-    : m_serve(serve), m_context(context) {
+    : m_serve(serve), m_context(context), m_port(FindFreePorts(1)) {
   Open();
 }
 
@@ -178,9 +178,6 @@
     std::cerr << "cannot listen: " << strerror(errno) << "\n";
     _exit(2);
   }
-  socklen_t length = sizeof(address);
-  getsockname(listening, reinterpret_cast<sockaddr*>(&address), &length);
-  m_port = ntohs(address.sin_port);
   m_listening = listening;
   std::thread([this, listening]() { Accept(listening); }).detach();
 }
--- a/review/standin-2/support.h
+++ b/review/standin-2/support.h
@@ -69,7 +69,9 @@
 
   const Serve m_serve;
   void* const m_context;
-  uint16_t m_port = 0;
+  // Below the ports of outgoing connections, so that it stays free while
+  // closed.
+  const uint16_t m_port;
   std::atomic<int> m_listening = -1;
   std::mutex m_mutex;
   std::vector<Socket*> m_open;
