review: Keep a stand-in's port while it is down

Cause: another program could take the port of a database that was down, when several cases ran at once; the case then ended with status 2.

Change: the socket stays bound and only stops listening.

--- a/review/standin-2/support.cc
+++ b/review/standin-2/support.cc
@@ -163,41 +163,42 @@
 }
 
 Listener::Listener(Serve serve, void* context)
-    : m_serve(serve), m_context(context), m_port(FindFreePorts(1)) {
+    : m_serve(serve),
+      m_context(context),
+      m_port(FindFreePorts(1)),
+      m_listening(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const int yes = 1;
+  setsockopt(m_listening, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  sockaddr_in address = Loopback(m_port);
+  if (bind(m_listening, reinterpret_cast<sockaddr*>(&address),
+           sizeof(address)) != 0) {
+    std::cerr << "cannot bind: " << strerror(errno) << "\n";
+    _exit(2);
+  }
   Open();
 }
 
 void Listener::Open() {
-  const int listening = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int yes = 1;
-  setsockopt(listening, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-  sockaddr_in address = Loopback(m_port);
-  if (bind(listening, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
-          0 ||
-      listen(listening, 512) != 0) {
+  if (listen(m_listening, 512) != 0) {
     std::cerr << "cannot listen: " << strerror(errno) << "\n";
     _exit(2);
   }
-  m_listening = listening;
-  std::thread([this, listening]() { Accept(listening); }).detach();
+  std::thread([this]() { Accept(); }).detach();
 }
 
 void Listener::Close() {
-  const int listening = m_listening.exchange(-1);
-  if (listening >= 0) {
-    shutdown(listening, SHUT_RDWR);
-  }
+  // The socket stops listening and keeps its port.
+  shutdown(m_listening, SHUT_RDWR);
   std::lock_guard lock(m_mutex);
   for (Socket* socket : m_open) {
     socket->Shutdown();
   }
 }
 
-void Listener::Accept(int listening) {
+void Listener::Accept() {
   while (true) {
-    const int accepted = accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+    const int accepted = accept4(m_listening, nullptr, nullptr, SOCK_CLOEXEC);
     if (accepted < 0) {
-      close(listening);
       return;
     }
     const int yes = 1;
--- a/review/standin-2/support.h
+++ b/review/standin-2/support.h
@@ -65,14 +65,13 @@
   void Open();
 
  private:
-  void Accept(int listening);
+  void Accept();
 
   const Serve m_serve;
   void* const m_context;
-  // Below the ports of outgoing connections, so that it stays free while
-  // closed.
+  // Below the ports of outgoing connections.
   const uint16_t m_port;
-  std::atomic<int> m_listening = -1;
+  const int m_listening;
   std::mutex m_mutex;
   std::vector<Socket*> m_open;
 };
