--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -476,7 +476,7 @@
 
 constexpr int kSessions = 296;
 constexpr int kStatements = 10;
-constexpr size_t kShapeLength = 62000;  // 0.62 MB a session.
+constexpr size_t kShapeLength = 65000;  // 0.65 MB a session.
 constexpr int64_t kDeadlineMs = 3000;
 constexpr int kAttempts = 3;  // The first one and two retries.
 constexpr int64_t kPauseMs = 1000;
--- a/review/standin-2/support.cc
+++ b/review/standin-2/support.cc
@@ -173,6 +173,7 @@
   if (bind(m_listening, reinterpret_cast<sockaddr*>(&address),
            sizeof(address)) != 0) {
     std::cerr << "cannot bind: " << strerror(errno) << "\n";
+    KillAll();
     _exit(2);
   }
   Open();
@@ -181,6 +182,7 @@
 void Listener::Open() {
   if (listen(m_listening, 512) != 0) {
     std::cerr << "cannot listen: " << strerror(errno) << "\n";
+    KillAll();
     _exit(2);
   }
   std::thread([this]() { Accept(); }).detach();
@@ -316,6 +318,7 @@
   if (posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments,
                   environment) != 0) {
     std::cerr << "cannot start " << program << "\n";
+    KillAll();
     _exit(2);
   }
   posix_spawn_file_actions_destroy(&actions);
