gateway: Log the logs that a promotion with synchronous replicas rests on

The line of a choice named the target and the number of answers only.

Change: event=candidate also names the targets that are taken for holders of acknowledged commits, those of them whose logs are unknown, and for how long this instance has known the list of targets.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -1687,11 +1687,25 @@
   LOG(INFO) << "event=candidate group=" << group << " target=" << *choice.target
             << " term=" << choice.received.term
             << " lsn=" << choice.received.lsn
-            << " candidates=" << change->statuses.size()
-            << " behind=" << behind;
+            << " candidates=" << change->statuses.size() << " behind=" << behind
+            << DescribeLogs(group, choice);
   Promote(group, attempt, *choice.target, *StatusOf(*change, *choice.target));
 }
 
+std::string LeadershipManager::DescribeLogs(const GroupName& group,
+                                            const PromotionChoice& choice) {
+  const uint32_t sync_replicas = m_groups->SyncReplicas(group);
+  if (sync_replicas == 0) {
+    return "";
+  }
+  return absl::StrCat(
+      " sync_replicas=", sync_replicas,
+      " holders=", absl::StrJoin(StateOf(group).replicas.Holders(), ","),
+      " unknown_logs=", absl::StrJoin(choice.unknown, ","), " list_known_ms=",
+      absl::ToInt64Milliseconds(m_loop->Now() -
+                                StateOf(group).replicas.FollowedSince()));
+}
+
 void LeadershipManager::Promote(const GroupName& group,
                                 uint64_t attempt,
                                 const TargetId& target,
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -202,6 +202,10 @@
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
   PromotionChoice ChooseFromStatuses(const GroupName& group,
                                      const PrimaryChange& change);
+  // The logs that a choice rests on, as fields of a log line; empty without
+  // synchronous replicas.
+  std::string DescribeLogs(const GroupName& group,
+                           const PromotionChoice& choice);
   // Ends the change with the old primary still in use.
   void KeepPrimary(const GroupName& group, uint64_t attempt);
   // Queries the targets again later, because none can be promoted safely.
--- a/Source/gateway/replica_tracker.cc
+++ b/Source/gateway/replica_tracker.cc
@@ -2,6 +2,7 @@
 
 #include "Source/gateway/replica_tracker.h"
 
+#include <algorithm>
 #include <set>
 
 #include "glog/logging.h"
@@ -24,6 +25,7 @@
 void ReplicaTracker::Update(const std::vector<ListedTarget>& targets,
                             const PositionCovering& position_covering,
                             absl::Time now) {
+  m_followed_since = std::min(m_followed_since, now);
   std::set<std::string> listed_addresses;
   for (const ListedTarget& target : targets) {
     listed_addresses.insert(target.address);
--- a/Source/gateway/replica_tracker.h
+++ b/Source/gateway/replica_tracker.h
@@ -30,6 +30,9 @@
 
   // The targets that may hold acknowledged commits, listed or not.
   std::vector<TargetId> Holders() const;
+  // Since when this instance has known the list; the infinite future before the
+  // first call of Update(). Targets that left the list before are not known.
+  absl::Time FollowedSince() const { return m_followed_since; }
   // False if the target has restarted, and so may have lost its log, and has
   // not received again what was acknowledged before that.
   bool HasItsLog(const TargetId& id, Position received) const;
@@ -46,6 +49,7 @@
   };
 
   std::map<TargetId, Replica> m_replicas;
+  absl::Time m_followed_since = absl::InfiniteFuture();
 };
 
 }  // namespace heatherwick
