gateway: Record which targets may hold acknowledged commits

Cause: which targets may hold acknowledged commits was known only from the list of targets as an instance had followed it since its start. A crashed target's entry expires after 3.6 s. Instances that started after that counted one listed target as all there is, so that no log was unknown, and promoted it although the crashed primary and the lost replica had commits it lacked.

Evidence: event=candidate of the instance that promoted says holders= i-depot-db-1 unknown_logs= list_known_ms=2018, of three databases, 5.3 s after the run before it had logged unknown_logs=i-depot-db-2. Ruled out: a log that was given up after 12 s (none was), a target that had lost its log (none had restarted), an order in flight (none was recorded).

Change: each group with synchronous replicas has a row replicas/GROUP with the runs of targets, by id and start, that may hold acknowledged commits. A run is added when it is listed, and removed once enough listed replicas have received all that the primary had when the run was gone. A change of primary counts recorded runs that are not listed as unknown, and the order of a promotion is recorded only if that row is still the one from which the target was chosen. Without a record only the old primary is certain until the list has been known for 12 s. A target is known to have restarted by its recorded run, also if no instance ran meanwhile. The log of a target that has left passes to its successor at the address only if it was draining, as PROTOCOL.md says it for those.

--- a/Source/decision/promotion_choice.cc
+++ b/Source/decision/promotion_choice.cc
@@ -13,7 +13,8 @@
     uint32_t sync_replicas,
     const std::vector<ReplicaLog>& replicas,
     size_t unknown_count,
-    std::optional<Position> old_primary) {
+    std::optional<Position> old_primary,
+    bool all_listed) {
   if (sync_replicas == 0) {
     return Position{};
   }
@@ -21,7 +22,7 @@
   for (const ReplicaLog& replica : replicas) {
     newest = std::max(newest, replica.received);
   }
-  if (unknown_count >= sync_replicas || !newest) {
+  if (!all_listed || unknown_count >= sync_replicas || !newest) {
     return old_primary;
   }
   return old_primary ? std::min(*newest, *old_primary) : *newest;
@@ -31,7 +32,8 @@
 
 PromotionChoice ChoosePromotion(uint32_t sync_replicas,
                                 const std::vector<ReplicaLog>& replicas,
-                                std::optional<Position> old_primary) {
+                                std::optional<Position> old_primary,
+                                bool all_listed) {
   PromotionChoice choice;
   for (const ReplicaLog& replica : replicas) {
     if (!replica.received) {
@@ -41,8 +43,8 @@
       choice.excluded.push_back(replica.id);
     }
   }
-  choice.required = RequiredPosition(sync_replicas, replicas,
-                                     choice.unknown.size(), old_primary);
+  choice.required = RequiredPosition(
+      sync_replicas, replicas, choice.unknown.size(), old_primary, all_listed);
   if (!choice.required) {
     return choice;
   }
--- a/Source/decision/promotion_choice.h
+++ b/Source/decision/promotion_choice.h
@@ -45,13 +45,17 @@
   std::vector<TargetId> excluded;  // Targets that must not be promoted.
 };
 
-// `replicas` lists every target that may hold acknowledged commits, except the
+// `replicas` lists the targets that may hold acknowledged commits, except the
 // old primary. `old_primary` is the end of the old primary's log, if it still
 // leads and answers. A draining target is chosen only if no other is safe, and
 // only with synchronous replicas, as it has to be replaced again soon.
+//
+// `all_listed` is false if targets that are not in `replicas` may hold
+// acknowledged commits. Only the old primary's log is certain then.
 PromotionChoice ChoosePromotion(uint32_t sync_replicas,
                                 const std::vector<ReplicaLog>& replicas,
-                                std::optional<Position> old_primary);
+                                std::optional<Position> old_primary,
+                                bool all_listed = true);
 
 }  // namespace heatherwick
 
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -926,14 +926,6 @@
                                                : found->second.sync_replicas;
 }
 
-std::optional<Position> Gateway::PositionCovering(const GroupName& group,
-                                                  absl::Time time) const {
-  const auto found = m_groups.find(group);
-  return found == m_groups.end()
-             ? std::nullopt
-             : found->second.position_history.LowestPositionCovering(time);
-}
-
 void Gateway::Quiesce(const GroupName& group,
                       bool planned,
                       std::function<void()> done) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -148,8 +148,6 @@
       absl::Duration timeout,
       std::function<void(std::optional<TargetStatus>)> done) override;
   uint32_t SyncReplicas(const GroupName& group) const override;
-  std::optional<Position> PositionCovering(const GroupName& group,
-                                           absl::Time time) const override;
   void Quiesce(const GroupName& group,
                bool planned,
                std::function<void()> done) override;
--- a/Source/gateway/group_access.h
+++ b/Source/gateway/group_access.h
@@ -32,10 +32,6 @@
       std::function<void(std::optional<TargetStatus>)> done) = 0;
   // Number of replicas that receive a commit before it is acknowledged.
   virtual uint32_t SyncReplicas(const GroupName& group) const = 0;
-  // The least known position that includes every commit which the group's
-  // primary acknowledged before `time`; nullopt if none is known.
-  virtual std::optional<Position> PositionCovering(const GroupName& group,
-                                                   absl::Time time) const = 0;
   // Ends all use of the group's primary and calls `done` once this instance has
   // nothing in flight there. In a planned change, open transactions get some
   // time to finish.
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -10,7 +10,6 @@
 
 #include "Source/base/hash.h"
 #include "Source/gateway/promotion_limits.h"
-#include "Source/gateway/replica_tracker.h"
 #include "Source/gateway/store_version.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -129,6 +128,9 @@
   size_t statuses_pending = 0;
   std::optional<TargetStatus> old_status;
   std::map<TargetId, TargetStatus> statuses;
+  // Version of the record of replicas from which the candidate was chosen, if
+  // the choice depends on it; 0 if there was none.
+  std::optional<uint64_t> replicas_version;
   std::set<TargetId> rejected;  // The platform reported that they don't run.
   // What was last logged on why no target can be promoted.
   std::string logged_wait;
@@ -186,7 +188,6 @@
   std::vector<InstanceId> voters;
   uint64_t voters_revision = 0;  // Of the members from which voters was made.
   bool probing = false;
-  ReplicaTracker replicas;  // Only kept with synchronous replicas.
   std::unique_ptr<PrimaryChange> change;
   // A target that claimed to lead in this term, and still did when an order of
   // this instance for it had ended.
@@ -229,7 +230,8 @@
                        StartChangeFrom(group, claim, {"", 1},
                                        absl::InfinitePast(), false,
                                        "no_leader_known");
-                     }) {}
+                     }),
+      m_replica_recorder(loop, &m_store, groups, &m_view, kTable) {}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
@@ -454,7 +456,6 @@
     auto next = std::make_unique<GroupState>();
     next->earlier_stagger =
         m_view.Members().empty() ? state->earlier_stagger : Stagger(group);
-    next->replicas = std::move(state->replicas);
     *state = std::move(*next);
   }
   const uint64_t previous = m_view.Era();
@@ -512,6 +513,11 @@
     if (m_view.Leader(group).phase == LeaderPhase::kUnknown) {
       return;  // The rows may be all that is known of its leader.
     }
+    if (m_groups->SyncReplicas(group) > 0 &&
+        m_view.EarlierReplicas(group) != nullptr &&
+        m_view.Replicas(group) == nullptr) {
+      return;  // Nor is its record of replicas written again yet.
+    }
   }
   m_deleting_earlier_rows = true;
   m_store.DeleteEarlierRows(
@@ -764,20 +770,10 @@
   m_had_lease = valid;
 }
 
-void LeadershipManager::UpdateReplicas(const GroupName& group) {
-  if (m_groups->SyncReplicas(group) > 0) {
-    StateOf(group).replicas.Update(
-        m_groups->Targets(group),
-        [this, &group](absl::Time time) {
-          return m_groups->PositionCovering(group, time);
-        },
-        m_loop->Now());
-  }
-}
-
 void LeadershipManager::CheckGroup(const GroupName& group) {
   const GroupLeader& leader = m_view.Leader(group);
-  UpdateReplicas(group);
+  m_replica_recorder.Update(group);
+  m_replica_recorder.Maintain(group, Stagger(group));
   if (StateOf(group).change) {
     return;
   }
@@ -1434,6 +1430,7 @@
   }
   change->statuses.clear();
   change->old_status.reset();
+  change->replicas_version.reset();
   change->orders_ended = m_loop->Now() >= change->orders_end;
   const std::vector<TargetId> queried = TargetsToQuery(group, *change);
   change->statuses_pending = queried.size();
@@ -1484,67 +1481,67 @@
   return highest;
 }
 
-PromotionChoice LeadershipManager::ChooseFromStatuses(
-    const GroupName& group,
-    const PrimaryChange& change) {
+PromotionChoice LeadershipManager::ChooseFromStatuses(const GroupName& group,
+                                                      PrimaryChange* change) {
   const uint32_t sync_replicas = m_groups->SyncReplicas(group);
-  UpdateReplicas(group);
-  const ReplicaTracker& tracker = StateOf(group).replicas;
+  m_replica_recorder.Update(group);
+  const ReplicaTracker& tracker = m_replica_recorder.Tracker(group);
   const GroupLeader& leader = m_view.Leader(group);
   std::map<TargetId, ReplicaLog> replicas;
   for (const ListedTarget& target : m_groups->Targets(group)) {
     ReplicaLog replica;
     replica.id = target.id;
     replica.draining = target.draining;
-    const auto status = change.statuses.find(target.id);
+    const auto status = change->statuses.find(target.id);
     // A log of an older term, such as that of a deposed primary, lacks all
     // commits of the newest term, and may have some that were discarded at its
     // start and must not come back.
     const bool outdated =
-        status != change.statuses.end() && status->second.term < leader.term &&
+        status != change->statuses.end() && status->second.term < leader.term &&
         m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
     // The effect of an order is visible only at a target that does not claim to
     // lead already.
     const bool claims =
-        status != change.statuses.end() && status->second.primary &&
-        m_loop->Now() < change.collecting_since + kCatchUpTimeout;
+        status != change->statuses.end() && status->second.primary &&
+        m_loop->Now() < change->collecting_since + kCatchUpTimeout;
     replica.promotable =
-        !outdated && !claims && !change.rejected.contains(target.id);
-    if (status != change.statuses.end() &&
-        (sync_replicas == 0 ||
-         tracker.HasItsLog(target.id, status->second.received))) {
+        !outdated && !claims && !change->rejected.contains(target.id);
+    if (status != change->statuses.end()) {
       replica.received = status->second.received;
     }
     replicas[target.id] = replica;
   }
-  if (sync_replicas > 0) {
-    for (const TargetId& id : tracker.Holders()) {
-      replicas.try_emplace(id, ReplicaLog{id, std::nullopt});
-    }
-  }
   // A deposed old primary is a replica like the others. The commits that it has
   // are also on enough of those, so that its log may be unknown.
-  replicas.erase(change.old_primary);
-  if (change.old_status && !change.old_status->primary &&
-      (sync_replicas == 0 ||
-       tracker.HasItsLog(change.old_primary, change.old_status->received))) {
+  replicas.erase(change->old_primary);
+  if (change->old_status && !change->old_status->primary &&
+      (sync_replicas == 0 || tracker.HasItsLog(change->old_primary))) {
     const bool outdated =
-        change.old_status->term < leader.term &&
+        change->old_status->term < leader.term &&
         m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
-    replicas[change.old_primary] = {
-        change.old_primary, change.old_status->received,
-        !outdated && !change.rejected.contains(change.old_primary), false};
+    replicas[change->old_primary] = {
+        change->old_primary, change->old_status->received,
+        !outdated && !change->rejected.contains(change->old_primary), false};
   }
   std::vector<ReplicaLog> logs;
   logs.reserve(replicas.size());
   for (const auto& [id, replica] : replicas) {
     logs.push_back(replica);
   }
+  if (sync_replicas > 0) {
+    change->replicas_version = tracker.RecordVersion();
+    for (const TargetRun& run : tracker.Holders()) {
+      if (!tracker.IsListed(run) && run.id != change->old_primary) {
+        logs.push_back({DescribeRuns({run}), std::nullopt});
+      }
+    }
+  }
   std::optional<Position> old_position;
-  if (change.old_status && change.old_status->primary) {
-    old_position = change.old_status->received;
+  if (change->old_status && change->old_status->primary) {
+    old_position = change->old_status->received;
   }
-  return ChoosePromotion(sync_replicas, logs, old_position);
+  return ChoosePromotion(sync_replicas, logs, old_position,
+                         tracker.HoldersKnown(m_loop->Now()));
 }
 
 void LeadershipManager::KeepPrimary(const GroupName& group, uint64_t attempt) {
@@ -1661,7 +1658,7 @@
     }
     return;
   }
-  const PromotionChoice choice = ChooseFromStatuses(group, *change);
+  const PromotionChoice choice = ChooseFromStatuses(group, change);
   const bool may_wait = now < change->collecting_since + kCatchUpTimeout;
   const bool behind = choice.target && change->old_status &&
                       choice.received < change->old_status->received;
@@ -1698,12 +1695,14 @@
   if (sync_replicas == 0) {
     return "";
   }
+  const ReplicaTracker& tracker = m_replica_recorder.Tracker(group);
   return absl::StrCat(
       " sync_replicas=", sync_replicas,
-      " holders=", absl::StrJoin(StateOf(group).replicas.Holders(), ","),
-      " unknown_logs=", absl::StrJoin(choice.unknown, ","), " list_known_ms=",
-      absl::ToInt64Milliseconds(m_loop->Now() -
-                                StateOf(group).replicas.FollowedSince()));
+      " holders=", DescribeRuns(tracker.Holders()),
+      " unknown_logs=", absl::StrJoin(choice.unknown, ","),
+      " record_version=", VersionNumber(tracker.RecordVersion()),
+      " list_known_ms=",
+      absl::ToInt64Milliseconds(m_loop->Now() - tracker.FollowedSince()));
 }
 
 void LeadershipManager::Promote(const GroupName& group,
@@ -1754,12 +1753,17 @@
   next.orders.recorded_after = leader.row_version;
   const std::string key = LeadershipView::LeaderKey(group);
   StoredRow record{key, LeadershipView::EncodeLeader(next), 0, false};
-  const RowTransaction transaction{
+  RowTransaction transaction{
       kTable,
       {{key, "", leader.row_version, false},
        {LeadershipView::PromotionLockKey(), "", m_token, false}},
       {record},
       {}};
+  if (change->replicas_version) {
+    // Another instance may have seen a target that this one does not know.
+    transaction.expected.push_back({LeadershipView::ReplicasKey(group), "",
+                                    *change->replicas_version, false});
+  }
   m_store.Commit(transaction, kStoreCallTimeout,
                  [this, group, attempt, record, orders = next.orders,
                   recorded_at = m_loop->Now(),
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -23,6 +23,7 @@
 #include "Source/gateway/group_access.h"
 #include "Source/gateway/leadership_view.h"
 #include "Source/gateway/peer_leases.h"
+#include "Source/gateway/replica_recorder.h"
 #include "Source/gateway/row_store.h"
 #include "Source/gateway/statement.h"
 #include "absl/time/time.h"
@@ -201,7 +202,7 @@
                                        const PrimaryChange& change) const;
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
   PromotionChoice ChooseFromStatuses(const GroupName& group,
-                                     const PrimaryChange& change);
+                                     PrimaryChange* change);
   // The logs that a choice rests on, as fields of a log line; empty without
   // synchronous replicas.
   std::string DescribeLogs(const GroupName& group,
@@ -212,7 +213,6 @@
   void AwaitCandidate(const GroupName& group,
                       uint64_t attempt,
                       const PromotionChoice& choice);
-  void UpdateReplicas(const GroupName& group);
   // The status that the change has last collected, or null.
   static const TargetStatus* StatusOf(const PrimaryChange& change,
                                       const TargetId& target);
@@ -277,6 +277,7 @@
   LeadershipView m_view;
   PeerLeases m_peer_leases;
   FirstLeader m_first_leader;
+  ReplicaRecorder m_replica_recorder;
   std::map<GroupName, std::unique_ptr<GroupState>> m_states;
   std::map<GroupName, uint64_t> m_confirmed_epochs;
   std::unique_ptr<Timer> m_poll_timer;
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -28,6 +28,7 @@
 };
 constexpr char kMemberPrefix[] = "member/";
 constexpr char kLeaderPrefix[] = "leader/";
+constexpr char kReplicasPrefix[] = "replicas/";
 constexpr char kConfirmationPrefix[] = "confirmed/";
 constexpr char kVotePrefix[] = "vote/";
 constexpr char kPromotionLock[] = "duty";
@@ -128,6 +129,10 @@
   m_last_store_read = absl::InfinitePast();
   m_leaders.clear();
   m_leader_rows.clear();
+  for (auto& [group, replicas] : m_replicas) {
+    m_earlier_replicas[group] = std::move(replicas);
+  }
+  m_replicas.clear();
   m_members.clear();
   ++m_members_revision;
   m_confirmations.clear();
@@ -141,6 +146,17 @@
   return found == m_earlier_leaders.end() ? nullptr : &found->second;
 }
 
+const RecordedReplicas* LeadershipView::EarlierReplicas(
+    const GroupName& group) const {
+  const auto found = m_earlier_replicas.find(group);
+  return found == m_earlier_replicas.end() ? nullptr : &found->second;
+}
+
+const RecordedReplicas* LeadershipView::Replicas(const GroupName& group) const {
+  const auto found = m_replicas.find(group);
+  return found == m_replicas.end() ? nullptr : &found->second;
+}
+
 void LeadershipView::ApplyEarlierRows(const std::vector<StoredRow>& rows,
                                       absl::Time now) {
   std::set<std::pair<InstanceId, uint64_t>> left;  // With their incarnations.
@@ -168,6 +184,12 @@
           ValueOf(parsed).row_version > earlier.leader.row_version) {
         earlier.leader = ValueOf(parsed);
       }
+    } else if (absl::ConsumePrefix(&key, kReplicasPrefix)) {
+      const Result<ReplicaSet> parsed = ParseReplicas(row);
+      RecordedReplicas& earlier = m_earlier_replicas[std::string(key)];
+      if (Ok(parsed) && row.version > earlier.row_version) {
+        earlier = {ValueOf(parsed), row.version};
+      }
     } else if (absl::ConsumePrefix(&key, kMemberPrefix)) {
       const Result<MemberRow> parsed = ParseMember(row, &reader);
       if (!Ok(parsed) || !IsName(key)) {
@@ -201,6 +223,9 @@
     return std::monostate{};  // Of a peer that is in another era.
   }
   absl::string_view key = row.key;
+  if (absl::ConsumePrefix(&key, kReplicasPrefix)) {
+    return ApplyReplicas(std::string(key), row);
+  }
   const Result<json> value =
       row.deleted ? Result<json>(json::object()) : ParseJson(row.value);
   if (!Ok(value)) {
@@ -392,6 +417,55 @@
   return std::monostate{};
 }
 
+Result<ReplicaSet> LeadershipView::ParseReplicas(const StoredRow& row) {
+  const Result<json> value = ParseJson(row.value);
+  if (!Ok(value)) {
+    return ErrorOf(value);
+  }
+  const json runs = ValueOf(value).is_object()
+                        ? ValueOf(value).value("runs", json())
+                        : json();
+  if (!runs.is_array()) {
+    return Error{ErrorKind::kInvalidArgument, "runs is not a list",
+                 "check what wrote the row"};
+  }
+  ReplicaSet replicas;
+  for (const json& run : runs) {
+    JsonReader reader(run);
+    const TargetId id = reader.Name("target");
+    const auto started =
+        static_cast<int64_t>(reader.NumberOr("started", 0, 0, kMaxCounter));
+    replicas[{id, started}] = {reader.NameOr("address", ""),
+                               reader.FlagOr("draining", false)};
+    if (!Ok(reader.Result())) {
+      return ErrorOf(reader.Result());
+    }
+  }
+  return replicas;
+}
+
+Status LeadershipView::ApplyReplicas(const GroupName& group,
+                                     const StoredRow& row) {
+  if (!IsName(group)) {
+    return InvalidKey();
+  }
+  const auto known = m_replicas.find(group);
+  if (row.deleted ||
+      (known != m_replicas.end() && row.version <= known->second.row_version)) {
+    return std::monostate{};
+  }
+  const Result<ReplicaSet> parsed = ParseReplicas(row);
+  RecordedReplicas& recorded = m_replicas[group];
+  recorded.row_version = row.version;
+  recorded.complete = Ok(parsed);
+  if (!Ok(parsed)) {
+    // The next writer of the row needs its version.
+    return ErrorOf(parsed);
+  }
+  recorded.replicas = ValueOf(parsed);
+  return std::monostate{};
+}
+
 Status LeadershipView::ApplyPromotionLock(const StoredRow& row,
                                           JsonReader* reader,
                                           absl::Time now) {
@@ -501,6 +575,10 @@
   return absl::StrCat(kLeaderPrefix, group);
 }
 
+std::string LeadershipView::ReplicasKey(const GroupName& group) {
+  return absl::StrCat(kReplicasPrefix, group);
+}
+
 std::string LeadershipView::ConfirmationKey(const InstanceId& id) {
   return absl::StrCat(kConfirmationPrefix, id);
 }
@@ -540,6 +618,17 @@
       .dump();
 }
 
+std::string LeadershipView::EncodeReplicas(const ReplicaSet& replicas) {
+  json runs = json::array();
+  for (const auto& [run, state] : replicas) {
+    runs.push_back({{"target", run.id},
+                    {"started", run.started_unix_ms},
+                    {"address", state.address},
+                    {"draining", state.draining}});
+  }
+  return json{{"runs", runs}}.dump();
+}
+
 std::string LeadershipView::EncodePromotionLock(const PromotionLockRow& lock) {
   return json{{"holder", lock.holder}, {"incarnation", lock.incarnation}}
       .dump();
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -26,6 +26,7 @@
 #include "Source/base/json_reader.h"
 #include "Source/base/rejected_entries.h"
 #include "Source/base/types.h"
+#include "Source/decision/replica_set.h"
 #include "Source/gateway/row_store.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -137,6 +138,15 @@
   bool proven = false;
 };
 
+// The targets that may hold acknowledged commits of a group, as recorded in the
+// store; see replica_recorder.h.
+struct RecordedReplicas {
+  ReplicaSet replicas;
+  uint64_t row_version = 0;
+  // False if the row could not be read, so that `replicas` may lack some.
+  bool complete = true;
+};
+
 // A member's vote on whether a group's primary is dead.
 struct Vote {
   uint64_t epoch = 0;  // Epoch of the group's leader row.
@@ -162,6 +172,8 @@
   absl::Time EraReadAt() const { return m_era_read_at; }
   // Null if no earlier leader of the group is known.
   const EarlierLeader* Earlier(const GroupName& group) const;
+  // The newest record of an earlier era; null if none is known.
+  const RecordedReplicas* EarlierReplicas(const GroupName& group) const;
   // The rows of earlier eras that are still stored, by key and era.
   const std::set<std::pair<std::string, uint64_t>>& EarlierRows() const {
     return m_earlier_rows;
@@ -185,6 +197,8 @@
   void RenounceLease() { m_lease_renounced = true; }
 
   const GroupLeader& Leader(const GroupName& group) const;
+  // Null if the group has no record in the present era.
+  const RecordedReplicas* Replicas(const GroupName& group) const;
   const std::map<InstanceId, MemberRow>& Members() const { return m_members; }
   // Does not include members that left by themselves, as they end their leases
   // first.
@@ -220,12 +234,14 @@
   // Keys and values of rows.
   static std::string MemberKey(const InstanceId& id);
   static std::string LeaderKey(const GroupName& group);
+  static std::string ReplicasKey(const GroupName& group);
   static std::string ConfirmationKey(const InstanceId& id);
   static std::string VoteKey(const GroupName& group, const InstanceId& id);
   static std::string PromotionLockKey();
   // A `joined` of 0 stands for the version that the row will be given.
   static std::string EncodeMember(const MemberRow& member);
   static std::string EncodeLeader(const GroupLeader& leader);
+  static std::string EncodeReplicas(const ReplicaSet& replicas);
   static std::string EncodePromotionLock(const PromotionLockRow& lock);
   static std::string EncodeVote(const Vote& vote);
   static std::string EncodeConfirmation(
@@ -272,6 +288,8 @@
                      JsonReader* reader,
                      absl::Time now,
                      std::set<GroupName>* changed);
+  static Result<ReplicaSet> ParseReplicas(const StoredRow& row);
+  Status ApplyReplicas(const GroupName& group, const StoredRow& row);
   Status ApplyPromotionLock(const StoredRow& row,
                             JsonReader* reader,
                             absl::Time now);
@@ -281,6 +299,7 @@
   uint64_t m_era = 0;
   absl::Time m_era_read_at = absl::InfinitePast();
   std::map<GroupName, EarlierLeader> m_earlier_leaders;
+  std::map<GroupName, RecordedReplicas> m_earlier_replicas;
   std::set<std::pair<std::string, uint64_t>> m_earlier_rows;
   uint64_t m_version = 0;
   uint64_t m_leaders_version = 0;
@@ -289,6 +308,7 @@
   absl::Time m_last_store_read = absl::InfinitePast();
   std::map<GroupName, GroupLeader> m_leaders;
   std::map<std::string, StoredRow> m_leader_rows;  // As stored, by row key.
+  std::map<GroupName, RecordedReplicas> m_replicas;
   std::map<InstanceId, MemberRow> m_members;
   std::map<InstanceId, DepartedMember> m_departed;
   absl::Time m_table_read_at = absl::InfinitePast();
--- a/Source/gateway/replica_tracker.cc
+++ b/Source/gateway/replica_tracker.cc
@@ -1,85 +1,167 @@
-// Follows the list of targets.
+// Merges the list of targets with the record.
 
 #include "Source/gateway/replica_tracker.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 
+#include "Source/gateway/store_version.h"
 #include "glog/logging.h"
 
 namespace heatherwick {
 namespace {
 
-// A target that is missing from the list for this long, or that has restarted
-// and received nothing since, is no longer waited for. A change of primary is
-// to be over within 18 s, and detection and promotion take up to 6 s of these.
+// A run that is missing from the list for this long, or that another run of its
+// target has followed, is no longer waited for. A change of primary is to be
+// over within 18 s, and detection and promotion take up to 6 s of these.
 constexpr absl::Duration kLogWaitTimeout = absl::Seconds(12);
-
-void LogGivenUp(const TargetId& id, const char* cause) {
-  LOG(WARNING) << "event=replica_log_given_up target=" << id << " cause=\""
-               << cause << "\"";
-}
+// A crashed target comes back, and a live one that could not reach the store is
+// listed again, within this time.
+constexpr absl::Duration kAbsenceTimeout = absl::Seconds(12);
 
 }  // namespace
 
 void ReplicaTracker::Update(const std::vector<ListedTarget>& targets,
-                            const PositionCovering& position_covering,
+                            const RecordedReplicas* record,
+                            const RecordedReplicas* earlier,
                             absl::Time now) {
   m_followed_since = std::min(m_followed_since, now);
-  std::set<std::string> listed_addresses;
-  for (const ListedTarget& target : targets) {
-    listed_addresses.insert(target.address);
-    const auto [entry, added] = m_replicas.try_emplace(target.id);
-    Replica& replica = entry->second;
-    if (!added && replica.started_unix_ms != target.started_unix_ms) {
-      replica.restarted_at = now;
-      replica.complete_from.reset();
-    }
-    replica.address = target.address;
-    replica.started_unix_ms = target.started_unix_ms;
-    replica.last_listed = now;
-    if (replica.restarted_at && !replica.complete_from) {
-      replica.complete_from = position_covering(*replica.restarted_at);
-      if (!replica.complete_from &&
-          now - *replica.restarted_at > kLogWaitTimeout) {
-        LogGivenUp(target.id, "restarted while no primary answered");
-        replica.restarted_at.reset();
+  if (record != nullptr && record->row_version != m_record_version) {
+    ApplyRecord(*record, now);
+  } else if (record == nullptr) {
+    ForgetRecord();
+    if (earlier != nullptr && earlier->complete) {
+      m_record_complete = true;
+      for (const auto& [run, state] : earlier->replicas) {
+        Add(run, state, now);
       }
     }
   }
-  std::erase_if(m_replicas, [&](const auto& entry) {
-    const auto& [id, replica] = entry;
-    if (replica.last_listed == now) {
-      return false;
-    }
-    // The log of a target that has left is transferred to the target that
-    // replaces it at its address.
-    if (listed_addresses.contains(replica.address)) {
-      return true;
+  for (auto& [run, holder] : m_holders) {
+    holder.listed = false;
+  }
+  for (const ListedTarget& target : targets) {
+    const ReplicaState state{target.address, target.draining};
+    Holder& holder = Add({target.id, target.started_unix_ms}, state, now);
+    holder.recorded = holder.recorded && holder.state == state;
+    holder.state = state;
+    holder.last_listed = now;
+    holder.listed = true;
+    holder.given_up = false;
+  }
+  for (auto& [run, holder] : m_holders) {
+    if (!holder.listed && !holder.given_up &&
+        now - holder.last_listed > kLogWaitTimeout) {
+      holder.given_up = true;
+      LOG(WARNING) << "event=replica_log_given_up target=" << run.id
+                   << " started_unix_ms=" << run.started_unix_ms
+                   << " not_listed_ms="
+                   << absl::ToInt64Milliseconds(now - holder.last_listed);
     }
-    if (now - replica.last_listed <= kLogWaitTimeout) {
-      return false;
+  }
+}
+
+void ReplicaTracker::ForgetRecord() {
+  m_record_version = 0;
+  for (auto& [run, holder] : m_holders) {
+    holder.recorded = false;
+  }
+}
+
+void ReplicaTracker::ApplyRecord(const RecordedReplicas& record,
+                                 absl::Time now) {
+  if (EraOf(record.row_version) != EraOf(m_record_version)) {
+    // The record of another era does not show what was removed since.
+    ForgetRecord();
+  }
+  m_record_version = record.row_version;
+  m_record_complete = record.complete;
+  for (auto holder = m_holders.begin(); holder != m_holders.end();) {
+    const bool removed = holder->second.recorded &&
+                         !record.replicas.contains(holder->first) &&
+                         record.complete;
+    holder->second.recorded = false;
+    holder = removed ? m_holders.erase(holder) : std::next(holder);
+  }
+  for (const auto& [run, state] : record.replicas) {
+    Holder& holder = Add(run, state, now);
+    if (!holder.listed) {
+      holder.state = state;
     }
-    LogGivenUp(id, "no longer listed");
-    return true;
-  });
+    holder.recorded = holder.state == state;
+  }
 }
 
-std::vector<TargetId> ReplicaTracker::Holders() const {
-  std::vector<TargetId> holders;
-  for (const auto& [id, replica] : m_replicas) {
-    holders.push_back(id);
+ReplicaTracker::Holder& ReplicaTracker::Add(const TargetRun& run,
+                                            const ReplicaState& state,
+                                            absl::Time now) {
+  const auto [entry, added] = m_holders.try_emplace(run);
+  if (added) {
+    entry->second.state = state;
+    entry->second.last_listed = now;
+  }
+  return entry->second;
+}
+
+ReplicaSet ReplicaTracker::Replicas() const {
+  ReplicaSet replicas;
+  for (const auto& [run, holder] : m_holders) {
+    replicas[run] = holder.state;
+  }
+  return replicas;
+}
+
+std::vector<TargetRun> ReplicaTracker::Holders() const {
+  const ReplicaSet replicas = Replicas();
+  std::vector<TargetRun> holders;
+  for (const auto& [run, holder] : m_holders) {
+    if (holder.listed || (!holder.given_up && !LogPassedOn(replicas, run))) {
+      holders.push_back(run);
+    }
   }
   return holders;
 }
 
-bool ReplicaTracker::HasItsLog(const TargetId& id, Position received) const {
-  const auto found = m_replicas.find(id);
-  if (found == m_replicas.end() || !found->second.restarted_at) {
-    return true;
+bool ReplicaTracker::HoldersKnown(absl::Time now) const {
+  return m_record_complete || now - m_followed_since > kAbsenceTimeout;
+}
+
+bool ReplicaTracker::IsListed(const TargetRun& run) const {
+  const auto found = m_holders.find(run);
+  return found != m_holders.end() && found->second.listed;
+}
+
+bool ReplicaTracker::HasItsLog(const TargetId& id) const {
+  return std::none_of(m_holders.begin(), m_holders.end(),
+                      [&id](const auto& entry) {
+                        return entry.first.id == id && !entry.second.listed &&
+                               !entry.second.given_up;
+                      });
+}
+
+bool ReplicaTracker::RecordLacksRuns() const {
+  return m_record_complete &&
+         std::any_of(m_holders.begin(), m_holders.end(),
+                     [](const auto& entry) { return !entry.second.recorded; });
+}
+
+bool ReplicaTracker::Replaced(const TargetRun& run) const {
+  return std::any_of(m_holders.begin(), m_holders.end(),
+                     [&run](const auto& entry) {
+                       return entry.first.id == run.id && entry.second.listed;
+                     });
+}
+
+std::vector<TargetRun> ReplicaTracker::Departed(absl::Time now) const {
+  const ReplicaSet replicas = Replicas();
+  std::vector<TargetRun> departed;
+  for (const auto& [run, holder] : m_holders) {
+    if (!holder.listed && (Replaced(run) || LogPassedOn(replicas, run) ||
+                           now - holder.last_listed > kAbsenceTimeout)) {
+      departed.push_back(run);
+    }
   }
-  const std::optional<Position>& complete_from = found->second.complete_from;
-  return complete_from && *complete_from <= received;
+  return departed;
 }
 
 }  // namespace heatherwick
--- a/Source/gateway/replica_tracker.h
+++ b/Source/gateway/replica_tracker.h
@@ -1,54 +1,82 @@
 // Remembers which targets of a group may hold acknowledged commits. The list of
-// targets does not show this: a target that has just left it may come back with
-// its log, and a listed one may have lost its log in a restart.
+// targets does not show this: a target that has left it may come back with its
+// log, and a listed one may have lost its log in a restart. What this instance
+// has not seen itself is in the record that the instances keep in the store
+// (see replica_recorder.h).
 
 #ifndef SOURCE_GATEWAY_REPLICA_TRACKER_H_
 #define SOURCE_GATEWAY_REPLICA_TRACKER_H_
 
-#include <functional>
+#include <cstdint>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
 #include "Source/base/types.h"
+#include "Source/decision/replica_set.h"
 #include "Source/gateway/configuration.h"
+#include "Source/gateway/leadership_view.h"
 #include "absl/time/time.h"
 
 namespace heatherwick {
 
 class ReplicaTracker {
  public:
-  // Returns the least known position of the primary that includes every commit
-  // acknowledged before a time; nullopt if there is none yet.
-  using PositionCovering = std::function<std::optional<Position>(absl::Time)>;
-
   // Must be called regularly with the complete list of the group's targets.
+  // `record` is the group's record of the present era of the store, and
+  // `earlier` the newest one of an earlier era; each is null if there is none.
   void Update(const std::vector<ListedTarget>& targets,
-              const PositionCovering& position_covering,
+              const RecordedReplicas* record,
+              const RecordedReplicas* earlier,
               absl::Time now);
 
-  // The targets that may hold acknowledged commits, listed or not.
-  std::vector<TargetId> Holders() const;
+  // The runs that may hold acknowledged commits, listed or not.
+  std::vector<TargetRun> Holders() const;
+  // True if no other run can hold acknowledged commits.
+  bool HoldersKnown(absl::Time now) const;
+  // True if this is the run of a listed target.
+  bool IsListed(const TargetRun& run) const;
+  // False if an earlier run of the target may have held commits that its
+  // present one has not received again.
+  bool HasItsLog(const TargetId& id) const;
+
+  // True if the record is complete, but lacks a run.
+  bool RecordLacksRuns() const;
+  // True if there is no complete record, neither of the present nor of an
+  // earlier era.
+  bool RecordMissing() const { return !m_record_complete; }
+  // The runs that are not expected to come back.
+  std::vector<TargetRun> Departed(absl::Time now) const;
+  // All runs, as the record has to show them.
+  ReplicaSet Replicas() const;
+  // Version of the record that this state includes; 0 if the present era has
+  // none.
+  uint64_t RecordVersion() const { return m_record_version; }
+
   // Since when this instance has known the list; the infinite future before the
-  // first call of Update(). Targets that left the list before are not known.
+  // first call of Update().
   absl::Time FollowedSince() const { return m_followed_since; }
-  // False if the target has restarted, and so may have lost its log, and has
-  // not received again what was acknowledged before that.
-  bool HasItsLog(const TargetId& id, Position received) const;
 
  private:
-  struct Replica {
-    std::string address;
-    int64_t started_unix_ms = 0;
+  struct Holder {
+    ReplicaState state;
+    // Last time it was listed, or when its record was first read.
     absl::Time last_listed;
-    // Set when the target restarts under the same id.
-    std::optional<absl::Time> restarted_at;
-    // Includes every commit acknowledged before `restarted_at`.
-    std::optional<Position> complete_from;
+    bool listed = false;
+    // The record of the present era has `state`.
+    bool recorded = false;
+    bool given_up = false;
   };
 
-  std::map<TargetId, Replica> m_replicas;
+  // No run is recorded in the present era.
+  void ForgetRecord();
+  void ApplyRecord(const RecordedReplicas& record, absl::Time now);
+  // Adds a run that this instance may not have seen itself.
+  Holder& Add(const TargetRun& run, const ReplicaState& state, absl::Time now);
+  bool Replaced(const TargetRun& run) const;
+
+  std::map<TargetRun, Holder> m_holders;
+  uint64_t m_record_version = 0;
+  bool m_record_complete = false;
   absl::Time m_followed_since = absl::InfiniteFuture();
 };
 
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -30,6 +30,7 @@
   bool alive = true;
   bool draining = false;
   bool listed = true;
+  std::string address;  // Its id, if empty.
   // The claim of its entry, if that is an older copy.
   std::optional<bool> registered_claim;
   int64_t started_unix_ms = 1;
@@ -132,7 +133,7 @@
           ListedTarget target;
           target.id = id;
           target.group = group;
-          target.address = id;
+          target.address = database.address.empty() ? id : database.address;
           target.started_unix_ms = database.started_unix_ms;
           target.draining = database.draining;
           target.claims_primary =
@@ -174,10 +175,6 @@
     uint32_t SyncReplicas(const GroupName&) const override {
       return m_cluster->sync_replicas;
     }
-    std::optional<Position> PositionCovering(const GroupName&,
-                                             absl::Time) const override {
-      return std::nullopt;
-    }
     void Quiesce(const GroupName&,
                  bool planned,
                  std::function<void()> done) override {
@@ -443,6 +440,8 @@
   // Chooses the fate of each order, by its target. If unset, orders take effect
   // after kPromotionTime.
   std::function<OrderFate(const TargetId&)> order_fate;
+  // Called just before a promotion takes effect.
+  std::function<void(const TargetId&)> on_promoted;
   // When it is decided whether the target of an order is the present primary:
   // when the order arrives, or when it takes effect.
   bool decided_when_ordered = false;
@@ -459,6 +458,9 @@
     if (m_leading.at(group) == target) {
       return;  // The present primary stays as it is.
     }
+    if (on_promoted) {
+      on_promoted(target);
+    }
     uint64_t term = 0;
     for (const auto& [id, database] : m_databases) {
       if (database.group == group) {
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -49,6 +49,35 @@
   CHECK_FALSE(m_view.LeaseValid(m_now));
 }
 
+// A target's crash must not be forgotten because the record of replicas cannot
+// be read.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_ReplicasMalformed_KeepsLastAndItsVersion") {
+  const std::string key = LeadershipView::ReplicasKey("g");
+  const ReplicaSet replicas = {{{"a", 1}, {"1", false}},
+                               {{"a", 2}, {"1", true}}};
+  m_view.Apply(
+      Rows({{key, LeadershipView::EncodeReplicas(replicas), 3, false}}), m_now);
+  REQUIRE(m_view.Replicas("g") != nullptr);
+  CHECK(m_view.Replicas("g")->replicas == replicas);
+  CHECK(m_view.Replicas("g")->complete);
+  uint64_t version = 3;
+  for (const std::string value :
+       {"", "{", "[]", "7", R"({"runs":7})", R"({"runs":[7]})",
+        R"({"runs":[{"started":1}]})",
+        R"({"runs":[{"target":"a","started":-1}]})"}) {
+    CAPTURE(value);
+    m_view.Apply(Rows({{key, value, ++version, false}}), m_now);
+    CHECK(m_view.Replicas("g")->replicas == replicas);
+    CHECK(m_view.Replicas("g")->row_version == version);
+    CHECK_FALSE(m_view.Replicas("g")->complete);
+  }
+  m_view.BeginEra(1, m_now);
+  CHECK(m_view.Replicas("g") == nullptr);
+  REQUIRE(m_view.EarlierReplicas("g") != nullptr);
+  CHECK(m_view.EarlierReplicas("g")->replicas == replicas);
+}
+
 // A peer of the era before announces rows that are no longer in force.
 TEST_CASE_FIXTURE(ViewFixture,
                   "LeadershipView_AnnouncedRowOfOtherEra_IsIgnored") {
--- /dev/null
+++ b/Tests/gateway/replica_record_test.cc
@@ -0,0 +1,252 @@
+// Tests that a promotion keeps every acknowledged commit although instances
+// restart, which then know the targets that have left the list only from the
+// record in the store.
+
+#include <memory>
+#include <string>
+
+#include "Source/gateway/leadership_view.h"
+#include "Tests/gateway/leadership_cluster.h"
+#include "doctest/doctest.h"
+
+namespace heatherwick {
+namespace {
+
+// Commits of g0-db0 up to {1, 10} were acknowledged because g0-db1 received
+// them. g0-db2 lacks the last ones.
+class ReplicaRecordFixture {
+ protected:
+  void Start() {
+    m_cluster = std::make_unique<LeadershipCluster>(3, 1);
+    m_cluster->sync_replicas = 1;
+    m_cluster->m_databases["g0-db1"].status.received = {1, 10};
+    m_cluster->RunFor(absl::Seconds(4));
+    REQUIRE(m_cluster->AllUse("g0", "g0-db0"));
+  }
+
+  FakeDatabase& Database(const TargetId& id) {
+    return m_cluster->m_databases.at(id);
+  }
+  void AddDatabase(const TargetId& id, Position received) {
+    FakeDatabase database;
+    database.group = "g0";
+    database.status.term = 1;
+    database.status.received = received;
+    m_cluster->m_databases[id] = database;
+  }
+  void Crash(const TargetId& id) {
+    Database(id).alive = false;
+    Database(id).listed = false;
+  }
+  void Return(const TargetId& id) {
+    Database(id).alive = true;
+    Database(id).listed = true;
+  }
+
+  std::string Record() const {
+    const auto row =
+        m_cluster->m_table.rows.find(LeadershipView::ReplicasKey("g0"));
+    return row == m_cluster->m_table.rows.end() ? "" : row->second.value;
+  }
+  bool IsRecorded(const TargetId& id) const {
+    return Record().find("\"" + id + "\"") != std::string::npos;
+  }
+
+  std::unique_ptr<LeadershipCluster> m_cluster;
+};
+
+// review/7: restarted instances knew one listed target of three and promoted
+// it, without commits that the two others held.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_HoldersUnlistedAtRestart_NoneIsPromoted") {
+  Start();
+  Crash("g0-db0");
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Seconds(4));
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(5));
+  CHECK(m_cluster->promoted.empty());
+  Return("g0-db0");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted.empty());
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// The same when the replica that holds the commits comes back.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_HolderReturnsAfterRestart_IsPromoted") {
+  Start();
+  Crash("g0-db0");
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Seconds(4));
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(4));
+  Return("g0-db1");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// The same with a replica that has joined later.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_JoinedTargetUnlistedAtRestart_IsAwaited") {
+  Start();
+  AddDatabase("g0-db3", {1, 11});
+  m_cluster->RunFor(absl::Seconds(1));
+  CHECK(IsRecorded("g0-db3"));
+  Crash("g0-db0");
+  Crash("g0-db3");
+  m_cluster->RunFor(absl::Seconds(4));
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.empty());
+}
+
+// The same with a replica that has started again while no instance ran, and has
+// lost its log.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_HolderLosesLogDuringRestart_IsNotTrusted") {
+  Start();
+  Crash("g0-db0");
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    m_cluster->Kill(name);
+  }
+  Database("g0-db1").started_unix_ms = 2;
+  Database("g0-db1").status.received = {1, 0};
+  m_cluster->RunFor(absl::Seconds(1));
+  for (const std::string name : {"i0", "i1", "i2"}) {
+    m_cluster->AddInstance(name);
+  }
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.empty());
+  Return("g0-db0");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// Guards against changes that wait for targets which are gone for good.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_TargetGone_IsRemovedOnceOthersCaughtUp") {
+  Start();
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Seconds(15));
+  // g0-db2 lacks commits that g0-db1 may be the only replica to hold.
+  CHECK(IsRecorded("g0-db1"));
+  Database("g0-db2").status.received = {1, 10};
+  m_cluster->RunFor(absl::Seconds(3));
+  CHECK_FALSE(IsRecorded("g0-db1"));
+  CHECK(IsRecorded("g0-db2"));
+  Crash("g0-db0");
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->AllUse("g0", "g0-db2"));
+}
+
+// With two synchronous replicas, one that has caught up is not enough.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_TooFewCaughtUp_TargetStays") {
+  Start();
+  m_cluster->sync_replicas = 2;
+  Crash("g0-db1");
+  Database("g0-db2").status.received = {1, 10};
+  m_cluster->RunFor(absl::Seconds(20));
+  CHECK(IsRecorded("g0-db1"));
+  AddDatabase("g0-db3", {1, 10});
+  m_cluster->RunFor(absl::Seconds(3));
+  CHECK_FALSE(IsRecorded("g0-db1"));
+}
+
+// Guards against a removal that rests on a primary which is being replaced.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_PrimaryAway_TargetStays") {
+  Start();
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Seconds(5));
+  Database("g0-db0").alive = false;
+  Database("g0-db2").status.received = {1, 10};
+  m_cluster->RunFor(absl::Seconds(20));
+  CHECK(IsRecorded("g0-db1"));
+}
+
+// The record of an earlier version is missing. Until the list has been known
+// for long enough, only the old primary's log is certain.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_NoneAtRestart_OnlyOldPrimaryIsUsed") {
+  Start();
+  Crash("g0-db0");
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Seconds(4));
+  m_cluster->m_table.rows.erase(LeadershipView::ReplicasKey("g0"));
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(5));
+  CHECK(m_cluster->promoted.empty());
+  Return("g0-db0");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// The instances that run when the store returns from a copy without the record,
+// and those that start then, keep the targets in mind.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_StoreReturnsFromCopy_IsWrittenAgain") {
+  Start();
+  const FakeTable copy = m_cluster->m_table;
+  AddDatabase("g0-db3", {1, 11});
+  m_cluster->RunFor(absl::Seconds(2));
+  Crash("g0-db3");
+  m_cluster->ReturnStore(copy, absl::Seconds(1));
+  m_cluster->RunFor(absl::Seconds(4));
+  const auto row = m_cluster->m_table.rows.find(
+      EraScopedRowStore::StoredKey(1, LeadershipView::ReplicasKey("g0")));
+  REQUIRE(row != m_cluster->m_table.rows.end());
+  CHECK(row->second.value.find("\"g0-db3\"") != std::string::npos);
+  Crash("g0-db0");
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted.empty());
+}
+
+// A group without synchronous replicas has no record, which would cost writes.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_NoSyncReplicas_NothingIsWritten") {
+  Start();
+  m_cluster = std::make_unique<LeadershipCluster>(3, 1);
+  m_cluster->RunFor(absl::Seconds(4));
+  CHECK(Record().empty());
+}
+
+// Guards against a choice from a record that another instance has changed
+// meanwhile.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_ChangesBeforeOrder_ChoiceIsRepeated") {
+  Start();
+  Crash("g0-db0");
+  // The holder reads the store 100 ms late.
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).store.SetPollDelay(absl::Milliseconds(100));
+  }
+  int changes = 0;
+  for (int step = 0; step < 200 && m_cluster->promoted.empty(); ++step) {
+    m_cluster->RunFor(absl::Milliseconds(50));
+    const auto leader =
+        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
+    // An instance that saw a further target writes it just before the order.
+    if (changes == 0 &&
+        leader->second.value.find("\"open\":false") != std::string::npos) {
+      StoredRow& row =
+          m_cluster->m_table.rows[LeadershipView::ReplicasKey("g0")];
+      ReplicaSet replicas;
+      for (const TargetId id : {"g0-db0", "g0-db1", "g0-db2", "g0-dbx"}) {
+        replicas[{id, 1}] = {id, false};
+      }
+      row.value = LeadershipView::EncodeReplicas(replicas);
+      row.version = ++m_cluster->m_table.version;
+      ++changes;
+    }
+  }
+  CHECK(changes == 1);
+  CHECK(m_cluster->promoted.empty());
+}
+
+}  // namespace
+}  // namespace heatherwick
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -740,10 +740,6 @@
                 [status, done = std::move(done)]() { done(status); });
   }
   uint32_t SyncReplicas(const GroupName&) const override { return 0; }
-  std::optional<Position> PositionCovering(const GroupName&,
-                                           absl::Time) const override {
-    return std::nullopt;
-  }
   void Quiesce(const GroupName&, bool, std::function<void()> done) override {
     done();
   }
