gateway: Wait without end for logs that may hold acknowledged commits

With synchronous replicas, a change of primary gave up a target 12 s after its last listing, and 12 s after it had started again without its log. Commits that only it and the crashed primary held were lost then.

Cause: the limit stood in ReplicaTracker, so that a change is over within 18 s.

A target that is gone for good is still removed from the record while the primary lives and the others have caught up, so that only the loss of n targets besides the primary waits.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -231,7 +231,12 @@
                                        absl::InfinitePast(), false,
                                        "no_leader_known");
                      }),
-      m_replica_recorder(loop, &m_store, groups, &m_view, kTable) {}
+      m_replica_recorder(loop,
+                         &m_store,
+                         groups,
+                         &m_view,
+                         kTable,
+                         m_settings.log_wait_limit) {}
 
 LeadershipManager::~LeadershipManager() {
   *m_alive = false;
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -36,6 +36,9 @@
   std::string peer_address;
   DataCentreName data_centre;
   uint32_t capacity = 0;  // See relay_plan.h.
+  // How long a change of primary waits for a target that is not listed and may
+  // hold acknowledged commits.
+  absl::Duration log_wait_limit = absl::InfiniteDuration();
 };
 
 class LeadershipManager {
--- a/Source/gateway/replica_recorder.cc
+++ b/Source/gateway/replica_recorder.cc
@@ -23,19 +23,21 @@
                                  RowStore* store,
                                  GroupAccess* groups,
                                  const LeadershipView* view,
-                                 std::string table)
+                                 std::string table,
+                                 absl::Duration log_wait_limit)
     : m_loop(loop),
       m_store(store),
       m_groups(groups),
       m_view(view),
-      m_table(std::move(table)) {}
+      m_table(std::move(table)),
+      m_log_wait_limit(log_wait_limit) {}
 
 ReplicaRecorder::~ReplicaRecorder() {
   *m_alive = false;
 }
 
 ReplicaRecorder::GroupState& ReplicaRecorder::StateOf(const GroupName& group) {
-  return m_states[group];
+  return m_states.try_emplace(group, m_log_wait_limit).first->second;
 }
 
 const ReplicaTracker& ReplicaRecorder::Tracker(const GroupName& group) {
--- a/Source/gateway/replica_recorder.h
+++ b/Source/gateway/replica_recorder.h
@@ -31,12 +31,13 @@
 
 class ReplicaRecorder {
  public:
-  // Records are written to `table`.
+  // Records are written to `table`. For `log_wait_limit` see ReplicaTracker.
   ReplicaRecorder(EventLoop* loop,
                   RowStore* store,
                   GroupAccess* groups,
                   const LeadershipView* view,
-                  std::string table);
+                  std::string table,
+                  absl::Duration log_wait_limit);
   ~ReplicaRecorder();
 
   // Follows the list of targets and the record. Must be called regularly; does
@@ -62,6 +63,9 @@
     size_t unanswered = 0;
   };
   struct GroupState {
+    explicit GroupState(absl::Duration log_wait_limit)
+        : tracker(log_wait_limit) {}
+
     ReplicaTracker tracker;
     absl::Time act_at = absl::InfiniteFuture();
     bool writing = false;
@@ -91,6 +95,7 @@
   GroupAccess* const m_groups;
   const LeadershipView* const m_view;
   const std::string m_table;
+  const absl::Duration m_log_wait_limit;
   std::map<GroupName, GroupState> m_states;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/Source/gateway/replica_tracker.cc
+++ b/Source/gateway/replica_tracker.cc
@@ -11,10 +11,6 @@
 namespace heatherwick {
 namespace {
 
-// A run that is missing from the list for this long, or that another run of its
-// target has followed, is no longer waited for. A change of primary is to be
-// over within 18 s, and detection and promotion take up to 6 s of these.
-constexpr absl::Duration kLogWaitTimeout = absl::Seconds(12);
 // A crashed target comes back, and a live one that could not reach the store is
 // listed again, within this time.
 constexpr absl::Duration kAbsenceTimeout = absl::Seconds(12);
@@ -51,7 +47,7 @@
   }
   for (auto& [run, holder] : m_holders) {
     if (!holder.listed && !holder.given_up &&
-        now - holder.last_listed > kLogWaitTimeout) {
+        now - holder.last_listed > m_log_wait_limit) {
       holder.given_up = true;
       LOG(WARNING) << "event=replica_log_given_up target=" << run.id
                    << " started_unix_ms=" << run.started_unix_ms
--- a/Source/gateway/replica_tracker.h
+++ b/Source/gateway/replica_tracker.h
@@ -21,6 +21,12 @@
 
 class ReplicaTracker {
  public:
+  // A run that has not been listed for `log_wait_limit` no longer counts as a
+  // holder; commits that only it holds besides the old primary may be lost.
+  explicit ReplicaTracker(
+      absl::Duration log_wait_limit = absl::InfiniteDuration())
+      : m_log_wait_limit(log_wait_limit) {}
+
   // Must be called regularly with the complete list of the group's targets.
   // `record` is the group's record of the present era of the store, and
   // `earlier` the newest one of an earlier era; each is null if there is none.
@@ -64,7 +70,7 @@
     bool listed = false;
     // The record of the present era has `state`.
     bool recorded = false;
-    bool given_up = false;
+    bool given_up = false;  // m_log_wait_limit has passed.
   };
 
   // No run is recorded in the present era.
@@ -74,6 +80,7 @@
   Holder& Add(const TargetRun& run, const ReplicaState& state, absl::Time now);
   bool Replaced(const TargetRun& run) const;
 
+  absl::Duration m_log_wait_limit;
   std::map<TargetRun, Holder> m_holders;
   uint64_t m_record_version = 0;
   bool m_record_complete = false;
--- a/Tests/gateway/replica_tracker_test.cc
+++ b/Tests/gateway/replica_tracker_test.cc
@@ -42,17 +42,34 @@
 };
 
 // Guards against the promotion of a target without the commits of one that has
-// just crashed and comes back with its log.
+// crashed and comes back with its log, however late.
 TEST_CASE_FIXTURE(ReplicaTrackerFixture,
-                  "ReplicaTracker_TargetLeavesList_IsHolderForSomeTime") {
+                  "ReplicaTracker_TargetLeavesList_StaysHolder") {
   List("a", "1", 1);
   List("b", "2", 1);
   UpdateAfter(absl::ZeroDuration());
   m_listed.pop_back();
-  UpdateAfter(absl::Seconds(5));
+  UpdateAfter(absl::Seconds(13));
   CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}, {"b", 1}});
-  UpdateAfter(absl::Seconds(8));
+  UpdateAfter(absl::Hours(24));
+  CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}, {"b", 1}});
+}
+
+// The operator prefers a primary to the commits of a target that is gone.
+TEST_CASE_FIXTURE(ReplicaTrackerFixture,
+                  "ReplicaTracker_LogWaitLimit_TargetIsGivenUpAfterIt") {
+  m_tracker = ReplicaTracker(absl::Seconds(60));
+  List("a", "1", 1);
+  List("b", "2", 1);
+  UpdateAfter(absl::ZeroDuration());
+  m_listed.pop_back();
+  UpdateAfter(absl::Seconds(60));
+  CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}, {"b", 1}});
+  UpdateAfter(absl::Seconds(1));
   CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}});
+  List("b", "2", 1);
+  UpdateAfter(absl::Seconds(1));
+  CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}, {"b", 1}});
 }
 
 // Guards against a started instance that takes the listed targets for all that
@@ -220,16 +237,23 @@
   CHECK_FALSE(m_tracker.HasItsLog("a"));
 }
 
+// No primary can show what the target has lost.
 TEST_CASE_FIXTURE(ReplicaTrackerFixture,
-                  "ReplicaTracker_NoPrimaryAfterRestart_WaitIsLimited") {
-  List("a", "1", 1);
-  UpdateAfter(absl::ZeroDuration());
-  m_listed[0].started_unix_ms = 2;
-  UpdateAfter(absl::Seconds(1));
-  UpdateAfter(absl::Seconds(10));
-  CHECK_FALSE(m_tracker.HasItsLog("a"));
-  UpdateAfter(absl::Seconds(3));
-  CHECK(m_tracker.HasItsLog("a"));
+                  "ReplicaTracker_NoPrimaryAfterRestart_LogStaysUnknown") {
+  for (const bool limited : {false, true}) {
+    CAPTURE(limited);
+    m_tracker =
+        ReplicaTracker(limited ? absl::Seconds(12) : absl::InfiniteDuration());
+    m_listed.clear();
+    List("a", "1", 1);
+    UpdateAfter(absl::ZeroDuration());
+    m_listed[0].started_unix_ms = 2;
+    UpdateAfter(absl::Seconds(1));
+    UpdateAfter(absl::Seconds(10));
+    CHECK_FALSE(m_tracker.HasItsLog("a"));
+    UpdateAfter(absl::Seconds(3));
+    CHECK(m_tracker.HasItsLog("a") == limited);
+  }
 }
 
 }  // namespace
--- a/Tests/platform/program_options_test.cc
+++ b/Tests/platform/program_options_test.cc
@@ -45,6 +45,23 @@
                           "--advertised-peer-address=10.1.0.8"));
 }
 
+// Commits are only given up if the operator says so.
+TEST_CASE_FIXTURE(ProgramOptionsFixture,
+                  "ProgramOptions_LogWaitLimit_IsInfiniteUnlessSet") {
+  const auto options = ParseProgramOptions({}, m_environment);
+  REQUIRE(Ok(options));
+  CHECK(ValueOf(options).log_wait_limit == absl::InfiniteDuration());
+  m_environment["HEATHERWICK_LOG_WAIT_LIMIT"] = "5m";
+  const auto limited = ParseProgramOptions({}, m_environment);
+  REQUIRE(Ok(limited));
+  CHECK(ValueOf(limited).log_wait_limit == absl::Minutes(5));
+  for (const std::string value : {"3s", "-1s", "soon", "nan"}) {
+    CAPTURE(value);
+    CHECK(absl::StrContains(ErrorFor({"--log-wait-limit=" + value}),
+                            "expected a duration from 12s to inf"));
+  }
+}
+
 TEST_CASE_FIXTURE(ProgramOptionsFixture,
                   "ProgramOptions_ArgumentOrFileMissing_IsAnError") {
   CHECK(absl::StrContains(ErrorFor({"x"}), "unexpected argument"));
