gateway: Discard the status of a target that has restarted since

Cause: a change of primary compares statuses that were taken up to 400 ms before. A replica that starts again in between has lost the log that its status shows, and was promoted for it.

Evidence: event=candidate target=g0-db2 term=3 lsn=481 right after event=replicas_recorded with a second run of g0-db2; the log of the promoted target was 0.0.

Change: the answer of a target whose entry has another start than when it was asked is discarded, and the target is asked again.

Open: a target that has started again and whose new entry has not been read yet answers with its empty log.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -128,6 +128,8 @@
   size_t statuses_pending = 0;
   std::optional<TargetStatus> old_status;
   std::map<TargetId, TargetStatus> statuses;
+  // The targets as listed when the collection began.
+  std::vector<ListedTarget> listed;
   // Version of the record of replicas from which the candidate was chosen, if
   // the choice depends on it; 0 if there was none.
   std::optional<uint64_t> replicas_version;
@@ -1436,6 +1438,7 @@
   change->statuses.clear();
   change->old_status.reset();
   change->replicas_version.reset();
+  change->listed = m_groups->Targets(group);
   change->orders_ended = m_loop->Now() >= change->orders_end;
   const std::vector<TargetId> queried = TargetsToQuery(group, *change);
   change->statuses_pending = queried.size();
@@ -1463,12 +1466,30 @@
             pending->statuses[id] = *status;
           }
           if (--pending->statuses_pending == 0) {
+            DiscardOutdatedStatuses(group, pending);
             ChooseCandidate(group, attempt);
           }
         });
   }
 }
 
+void LeadershipManager::DiscardOutdatedStatuses(const GroupName& group,
+                                                PrimaryChange* change) const {
+  const std::vector<ListedTarget> present = m_groups->Targets(group);
+  for (const ListedTarget& asked : change->listed) {
+    const bool restarted = std::any_of(
+        present.begin(), present.end(), [&asked](const ListedTarget& target) {
+          return target.id == asked.id &&
+                 target.started_unix_ms != asked.started_unix_ms;
+        });
+    if (restarted && asked.id == change->old_primary) {
+      change->old_status.reset();
+    } else if (restarted) {
+      change->statuses.erase(asked.id);
+    }
+  }
+}
+
 const TargetStatus* LeadershipManager::StatusOf(const PrimaryChange& change,
                                                 const TargetId& target) {
   if (target == change.old_primary) {
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -200,6 +200,10 @@
                                  PrimaryChange* change,
                                  const std::vector<InstanceId>& missing) const;
   void CollectStatuses(const GroupName& group, uint64_t attempt);
+  // Discards what targets stated that have started again since they were asked,
+  // without the logs that they had then.
+  void DiscardOutdatedStatuses(const GroupName& group,
+                               PrimaryChange* change) const;
   // The targets whose statuses the change needs.
   std::vector<TargetId> TargetsToQuery(const GroupName& group,
                                        const PrimaryChange& change) const;
--- a/Tests/gateway/replica_record_test.cc
+++ b/Tests/gateway/replica_record_test.cc
@@ -248,5 +248,35 @@
   CHECK(m_cluster->promoted.empty());
 }
 
+// The statuses of a choice were taken before a replica started again with an
+// empty log. It was then promoted for the log that it had before.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_TargetRestartsBeforeChoice_IsAskedAgain") {
+  Start();
+  m_cluster->sync_replicas = 2;
+  Database("g0-db2").status.received = {1, 10};
+  for (size_t index = 0; index < 3; ++index) {
+    m_cluster->At(index).status_delay = absl::Milliseconds(300);
+  }
+  Crash("g0-db0");
+  for (int step = 0; step < 1000; ++step) {
+    m_cluster->m_loop.RunFor(absl::Milliseconds(5));
+    for (size_t index = 0; index < 3; ++index) {
+      m_cluster->At(index).ReportUnresponsivePrimaries();
+    }
+    const auto leader =
+        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
+    if (leader->second.value.find("\"open\":false") != std::string::npos) {
+      break;
+    }
+  }
+  // The targets have been asked, and their answers are on their way.
+  m_cluster->m_loop.RunFor(absl::Milliseconds(200));
+  Database("g0-db1").started_unix_ms = 2;
+  Database("g0-db1").status.received = {};
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db2"});
+}
+
 }  // namespace
 }  // namespace heatherwick
