gateway: Count unlisted targets before a first leader is published

Only listed targets were asked who leads, and the promoted target's entry had expired. Besides, a change that begins without a leader row took the claim of its old primary for certain; and several former runs of one target counted as several unknown logs, although they never held logs at the same time.

Evidence: event=first_leader_choice action=publish target=g0-db0 reason="leads in the highest term" claims=g0-db0/primary/leads/1, right after the same instance had sent the order for g0-db1.

Change: recorded runs that are not listed, and the target of a remembered order (also without synchronous replicas), count as targets that do not answer. The row of a change without a known leader says so (claimed). The old primary's log is certain only if it leads in the newest known term and the row is not claimed; otherwise the target that leads in that term counts, if at most sync_replicas targets are unknown.

--- a/Source/gateway/first_leader.cc
+++ b/Source/gateway/first_leader.cc
@@ -42,6 +42,7 @@
                          GroupAccess* groups,
                          const LeadershipView* view,
                          std::string table,
+                         UnlistedHolders unlisted_holders,
                          StartChange start_change)
     : m_self(std::move(self)),
       m_incarnation(incarnation),
@@ -50,6 +51,7 @@
       m_groups(groups),
       m_view(view),
       m_table(std::move(table)),
+      m_unlisted_holders(std::move(unlisted_holders)),
       m_start_change(std::move(start_change)) {}
 
 FirstLeader::~FirstLeader() {
@@ -84,6 +86,27 @@
   }
 }
 
+std::vector<TargetClaim> FirstLeader::SilentClaims(
+    const GroupName& group,
+    const std::vector<ListedTarget>& listed) const {
+  std::vector<TargetClaim> claims;
+  for (const TargetRun& run : m_unlisted_holders(group)) {
+    claims.push_back({DescribeRuns({run}), false, std::nullopt});
+  }
+  // An order that was recorded in the lost row may have taken effect.
+  const EarlierLeader* const earlier = m_view->Earlier(group);
+  if (earlier != nullptr && earlier->leader.orders.count > 0) {
+    const TargetId& ordered = earlier->leader.orders.target;
+    const bool is_listed = std::any_of(
+        listed.begin(), listed.end(),
+        [&ordered](const ListedTarget& each) { return each.id == ordered; });
+    if (!ordered.empty() && !is_listed) {
+      claims.push_back({ordered, false, std::nullopt});
+    }
+  }
+  return claims;
+}
+
 void FirstLeader::AskTargets(const GroupName& group,
                              const std::shared_ptr<GroupState>& state) {
   state->asking = true;
@@ -98,11 +121,15 @@
   // after the other.
   state->orders_ended =
       now >= std::max(m_view->EraReadAt(), state->first_proposed) + wait;
-  for (const ListedTarget& target : m_groups->Targets(group)) {
+  const std::vector<ListedTarget> listed = m_groups->Targets(group);
+  for (const ListedTarget& target : listed) {
     state->claims.push_back({target.id, target.claims_primary, std::nullopt});
   }
-  state->unanswered = state->claims.size();
-  for (size_t index = 0; index < state->claims.size(); ++index) {
+  for (const TargetClaim& claim : SilentClaims(group, listed)) {
+    state->claims.push_back(claim);
+  }
+  state->unanswered = listed.size();
+  for (size_t index = 0; index < listed.size(); ++index) {
     m_groups->QueryStatus(
         group, state->claims[index].id, kProbeTimeout,
         [this, group, state, index,
@@ -156,6 +183,7 @@
       choice.target.empty() ? state->claims.front().id : choice.target;
   leader.term = choice.term;
   leader.orders = {};
+  leader.claimed = choice.action == FirstLeaderAction::kElect;
   if (choice.action == FirstLeaderAction::kPublish) {
     Publish(group, leader);
   } else {
@@ -170,6 +198,7 @@
   first.holder = m_self;
   first.holder_incarnation = m_incarnation;
   first.planned = false;
+  first.claimed = false;
   const std::string key = LeadershipView::LeaderKey(group);
   RowTransaction transaction{m_table, {{key, "", 0, false}}, {}, {}};
   transaction.writes = {{key, LeadershipView::EncodeLeader(first), 0, false}};
--- a/Source/gateway/first_leader.h
+++ b/Source/gateway/first_leader.h
@@ -14,6 +14,7 @@
 
 #include "Source/base/types.h"
 #include "Source/decision/first_leader_choice.h"
+#include "Source/decision/replica_set.h"
 #include "Source/gateway/event_loop.h"
 #include "Source/gateway/group_access.h"
 #include "Source/gateway/leadership_view.h"
@@ -28,6 +29,9 @@
   // missing leader row.
   using StartChange =
       std::function<void(const GroupName& group, const GroupLeader& claim)>;
+  // Returns the runs that may hold acknowledged commits and are not listed.
+  using UnlistedHolders =
+      std::function<std::vector<TargetRun>(const GroupName& group)>;
 
   // Leader rows are written to `table`.
   FirstLeader(InstanceId self,
@@ -37,6 +41,7 @@
               GroupAccess* groups,
               const LeadershipView* view,
               std::string table,
+              UnlistedHolders unlisted_holders,
               StartChange start_change);
   ~FirstLeader();
 
@@ -60,6 +65,10 @@
     std::string logged;  // The last decision that was logged.
   };
 
+  // Targets that may lead but are not listed, so that they cannot be asked.
+  std::vector<TargetClaim> SilentClaims(
+      const GroupName& group,
+      const std::vector<ListedTarget>& listed) const;
   void AskTargets(const GroupName& group,
                   const std::shared_ptr<GroupState>& state);
   void Decide(const GroupName& group, const std::shared_ptr<GroupState>& state);
@@ -72,6 +81,7 @@
   GroupAccess* const m_groups;
   const LeadershipView* const m_view;
   const std::string m_table;
+  const UnlistedHolders m_unlisted_holders;
   const StartChange m_start_change;
   // Calls in flight keep the states of an earlier era.
   std::map<GroupName, std::shared_ptr<GroupState>> m_states;
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -220,19 +220,23 @@
           &m_view,
           [this](const RowChanges& changes) { ApplyRows(changes); },
           [this](uint64_t era) { OnEraOfPeer(era); }),
-      m_first_leader(m_settings.self,
-                     m_settings.incarnation,
-                     loop,
-                     &m_store,
-                     groups,
-                     &m_view,
-                     kTable,
-                     [this](const GroupName& group, const GroupLeader& claim) {
-                       // Nobody knows which targets were ordered before.
-                       StartChangeFrom(group, claim, {"", 1},
-                                       absl::InfinitePast(), false,
-                                       "no_leader_known");
-                     }),
+      m_first_leader(
+          m_settings.self,
+          m_settings.incarnation,
+          loop,
+          &m_store,
+          groups,
+          &m_view,
+          kTable,
+          [this](const GroupName& group) {
+            m_replica_recorder.Update(group);
+            return m_replica_recorder.Tracker(group).UnlistedHolders();
+          },
+          [this](const GroupName& group, const GroupLeader& claim) {
+            // Nobody knows which targets were ordered before.
+            StartChangeFrom(group, claim, {"", 1}, absl::InfinitePast(), false,
+                            "no_leader_known");
+          }),
       m_replica_recorder(loop,
                          &m_store,
                          groups,
@@ -1507,66 +1511,114 @@
   return highest;
 }
 
+ReplicaLog LeadershipManager::LogOf(const GroupName& group,
+                                    const PrimaryChange& change,
+                                    const TargetId& target,
+                                    const TargetStatus& status) const {
+  const absl::Time now = m_loop->Now();
+  const GroupLeader& leader = m_view.Leader(group);
+  // A log of an older term, such as that of a deposed primary, lacks all
+  // commits of the newest term, and may have some that were discarded at its
+  // start and must not come back.
+  const bool outdated = status.term < leader.term &&
+                        now < leader.change_seen + kOutdatedLogTimeout;
+  // The effect of an order is visible only at a target that does not claim to
+  // lead already.
+  const bool claims =
+      status.primary && now < change.collecting_since + kCatchUpTimeout;
+  return {target, status.received,
+          !outdated && !claims && !change.rejected.contains(target)};
+}
+
+std::map<TargetId, std::string> LeadershipManager::UnknownLogs(
+    const GroupName& group,
+    const PrimaryChange& change) {
+  std::map<TargetId, std::string> unknown;
+  if (m_groups->SyncReplicas(group) > 0) {
+    for (const TargetRun& run :
+         m_replica_recorder.Tracker(group).UnlistedHolders()) {
+      unknown[run.id] = DescribeRuns({run});
+    }
+  }
+  for (const ListedTarget& target : m_groups->Targets(group)) {
+    if (StatusOf(change, target.id) == nullptr) {
+      unknown[target.id] = target.id;
+    }
+  }
+  return unknown;
+}
+
+std::optional<TargetId> LeadershipManager::FindLeadingLog(
+    const GroupName& group,
+    const PrimaryChange& change) {
+  const uint32_t sync_replicas = m_groups->SyncReplicas(group);
+  const GroupLeader& leader = m_view.Leader(group);
+  const ReplicaTracker& tracker = m_replica_recorder.Tracker(group);
+  uint64_t newest_term = HighestTerm(change);
+  if (sync_replicas > 0) {
+    newest_term = std::max(newest_term, leader.term);
+  }
+  const auto leads = [&](const TargetId& id) {
+    const TargetStatus* const status = StatusOf(change, id);
+    return status != nullptr && status->primary && status->term >= newest_term;
+  };
+  if (sync_replicas == 0 || !leader.claimed) {
+    if (leads(change.old_primary)) {
+      return change.old_primary;
+    }
+    if (sync_replicas == 0) {
+      return std::nullopt;
+    }
+  }
+  // An acknowledged commit of a newer term would be on the primary of that term
+  // and on `sync_replicas` others, so that one of the known ones would show it.
+  if (!tracker.HoldersKnown(m_loop->Now()) ||
+      UnknownLogs(group, change).size() > sync_replicas) {
+    return std::nullopt;
+  }
+  for (const ListedTarget& target : m_groups->Targets(group)) {
+    if (leads(target.id)) {
+      return target.id;
+    }
+  }
+  return std::nullopt;
+}
+
 PromotionChoice LeadershipManager::ChooseFromStatuses(const GroupName& group,
                                                       PrimaryChange* change) {
   const uint32_t sync_replicas = m_groups->SyncReplicas(group);
   m_replica_recorder.Update(group);
   const ReplicaTracker& tracker = m_replica_recorder.Tracker(group);
-  const GroupLeader& leader = m_view.Leader(group);
-  std::map<TargetId, ReplicaLog> replicas;
+  // If the old primary is only claimed to have led last, its log is one of
+  // those that may have an acknowledged commit, like the others.
+  const bool claimed = sync_replicas > 0 && m_view.Leader(group).claimed;
+  std::vector<ReplicaLog> logs;
   for (const ListedTarget& target : m_groups->Targets(group)) {
-    ReplicaLog replica;
-    replica.id = target.id;
-    replica.draining = target.draining;
-    const auto status = change->statuses.find(target.id);
-    // A log of an older term, such as that of a deposed primary, lacks all
-    // commits of the newest term, and may have some that were discarded at its
-    // start and must not come back.
-    const bool outdated =
-        status != change->statuses.end() && status->second.term < leader.term &&
-        m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
-    // The effect of an order is visible only at a target that does not claim to
-    // lead already.
-    const bool claims =
-        status != change->statuses.end() && status->second.primary &&
-        m_loop->Now() < change->collecting_since + kCatchUpTimeout;
-    replica.promotable =
-        !outdated && !claims && !change->rejected.contains(target.id);
-    if (status != change->statuses.end()) {
-      replica.received = status->second.received;
+    const bool is_old = target.id == change->old_primary;
+    const TargetStatus* const status = StatusOf(*change, target.id);
+    // A deposed old primary is a replica like the others. The commits that it
+    // has are also on enough of those, so that its log may be unknown.
+    const bool deposed = is_old && status != nullptr && !status->primary &&
+                         !HasLostLog(group, target.id);
+    if (status != nullptr && (!is_old || deposed || claimed)) {
+      logs.push_back(LogOf(group, *change, target.id, *status));
+      logs.back().draining = target.draining && !is_old;
     }
-    replicas[target.id] = replica;
-  }
-  // A deposed old primary is a replica like the others. The commits that it has
-  // are also on enough of those, so that its log may be unknown.
-  replicas.erase(change->old_primary);
-  if (change->old_status && !change->old_status->primary &&
-      (sync_replicas == 0 || tracker.HasItsLog(change->old_primary))) {
-    const bool outdated =
-        change->old_status->term < leader.term &&
-        m_loop->Now() < leader.change_seen + kOutdatedLogTimeout;
-    replicas[change->old_primary] = {
-        change->old_primary, change->old_status->received,
-        !outdated && !change->rejected.contains(change->old_primary), false};
   }
-  std::vector<ReplicaLog> logs;
-  logs.reserve(replicas.size());
-  for (const auto& [id, replica] : replicas) {
-    logs.push_back(replica);
+  for (const auto& [id, description] : UnknownLogs(group, *change)) {
+    if (id != change->old_primary || claimed) {
+      logs.push_back({description, std::nullopt});
+    }
+  }
+  std::optional<Position> leading_log;
+  const std::optional<TargetId> leading = FindLeadingLog(group, *change);
+  if (leading) {
+    leading_log = StatusOf(*change, *leading)->received;
   }
   if (sync_replicas > 0) {
     change->replicas_version = tracker.RecordVersion();
-    for (const TargetRun& run : tracker.Holders()) {
-      if (!tracker.IsListed(run) && run.id != change->old_primary) {
-        logs.push_back({DescribeRuns({run}), std::nullopt});
-      }
-    }
-  }
-  std::optional<Position> old_position;
-  if (change->old_status && change->old_status->primary) {
-    old_position = change->old_status->received;
   }
-  return ChoosePromotion(sync_replicas, logs, old_position,
+  return ChoosePromotion(sync_replicas + (claimed ? 1 : 0), logs, leading_log,
                          tracker.HoldersKnown(m_loop->Now()));
 }
 
@@ -1626,6 +1678,12 @@
   return target;
 }
 
+bool LeadershipManager::HasLostLog(const GroupName& group,
+                                   const TargetId& target) const {
+  return m_groups->SyncReplicas(group) > 0 &&
+         !m_replica_recorder.Tracker(group).HasItsLog(target);
+}
+
 void LeadershipManager::AwaitOrders(const GroupName& group, uint64_t attempt) {
   PrimaryChange* const change = FindChange(group, attempt);
   if (!change->waits_for_orders) {
@@ -1691,8 +1749,7 @@
   const bool none_safe = !choice.target && (choice.required != Position{} ||
                                             !choice.excluded.empty());
   // An unplanned change does not discard commits of a primary that still leads.
-  const bool can_keep = change->old_status && change->old_status->primary &&
-                        change->old_status->term >= HighestTerm(*change);
+  const bool can_keep = FindLeadingLog(group, *change) == change->old_primary;
   if (can_keep && !may_wait &&
       (none_safe || (!change->planned && (!choice.target || behind)))) {
     KeepPrimary(group, attempt);
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -210,6 +210,22 @@
   void ChooseCandidate(const GroupName& group, uint64_t attempt);
   PromotionChoice ChooseFromStatuses(const GroupName& group,
                                      PrimaryChange* change);
+  // What the status of a target shows of its log.
+  ReplicaLog LogOf(const GroupName& group,
+                   const PrimaryChange& change,
+                   const TargetId& target,
+                   const TargetStatus& status) const;
+  // The targets of which a log that may have acknowledged commits is not known,
+  // with the name for log lines. Former runs of a target count once: they never
+  // held logs at the same time.
+  std::map<TargetId, std::string> UnknownLogs(const GroupName& group,
+                                              const PrimaryChange& change);
+  // The target that leads in the newest term, if that is certain. Its log has
+  // every acknowledged commit.
+  std::optional<TargetId> FindLeadingLog(const GroupName& group,
+                                         const PrimaryChange& change);
+  // True if a former run of the target may have held commits that it lacks.
+  bool HasLostLog(const GroupName& group, const TargetId& target) const;
   // The logs that a choice rests on, as fields of a log line; empty without
   // synchronous replicas.
   std::string DescribeLogs(const GroupName& group,
--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -351,6 +351,7 @@
   next.phase =
       reader->Flag("open") ? LeaderPhase::kOpen : LeaderPhase::kChanging;
   next.primary = reader->Name("primary");
+  next.claimed = reader->FlagOr("claimed", false);
   next.term = reader->NumberOr("term", 0, 0, kMaxCounter);
   next.holder = reader->Name("holder");
   next.holder_incarnation = reader->Number("incarnation", 0, kMaxCounter);
@@ -605,6 +606,7 @@
   return json{{"epoch", leader.epoch},
               {"open", leader.phase == LeaderPhase::kOpen},
               {"primary", leader.primary},
+              {"claimed", leader.claimed},
               {"term", leader.term},
               {"holder", leader.holder},
               {"incarnation", leader.holder_incarnation},
--- a/Source/gateway/leadership_view.h
+++ b/Source/gateway/leadership_view.h
@@ -79,8 +79,11 @@
   LeaderPhase phase = LeaderPhase::kUnknown;
   uint64_t epoch = 0;  // Incremented with every update of this row.
   TargetId primary;    // kOpen: in use. kChanging: the one being replaced.
-  uint64_t term = 0;   // Term in which `primary` leads; 0 if unknown.
-  InstanceId holder;   // Instance that carries out the change.
+  // The row of the change replaces one that the store has lost, so that another
+  // target may have led after `primary`.
+  bool claimed = false;
+  uint64_t term = 0;  // Term in which `primary` leads; 0 if unknown.
+  InstanceId holder;  // Instance that carries out the change.
   uint64_t holder_incarnation = 0;
   bool planned = false;  // True if the old primary still answers.
   uint64_t row_version = 0;
--- a/Source/gateway/replica_recorder.cc
+++ b/Source/gateway/replica_recorder.cc
@@ -40,8 +40,10 @@
   return m_states.try_emplace(group, m_log_wait_limit).first->second;
 }
 
-const ReplicaTracker& ReplicaRecorder::Tracker(const GroupName& group) {
-  return StateOf(group).tracker;
+const ReplicaTracker& ReplicaRecorder::Tracker(const GroupName& group) const {
+  static const auto* const unknown = new ReplicaTracker();
+  const auto found = m_states.find(group);
+  return found == m_states.end() ? *unknown : found->second.tracker;
 }
 
 void ReplicaRecorder::Update(const GroupName& group) {
--- a/Source/gateway/replica_recorder.h
+++ b/Source/gateway/replica_recorder.h
@@ -49,7 +49,7 @@
   void Maintain(const GroupName& group, absl::Duration stagger);
 
   // As of the last call of Update().
-  const ReplicaTracker& Tracker(const GroupName& group);
+  const ReplicaTracker& Tracker(const GroupName& group) const;
 
  private:
   // Shows that the replicas have received all that departed runs may hold.
--- a/Source/gateway/replica_tracker.cc
+++ b/Source/gateway/replica_tracker.cc
@@ -118,13 +118,16 @@
   return holders;
 }
 
-bool ReplicaTracker::HoldersKnown(absl::Time now) const {
-  return m_record_complete || now - m_followed_since > kAbsenceTimeout;
+std::vector<TargetRun> ReplicaTracker::UnlistedHolders() const {
+  std::vector<TargetRun> unlisted = Holders();
+  std::erase_if(unlisted, [this](const TargetRun& run) {
+    return m_holders.at(run).listed;
+  });
+  return unlisted;
 }
 
-bool ReplicaTracker::IsListed(const TargetRun& run) const {
-  const auto found = m_holders.find(run);
-  return found != m_holders.end() && found->second.listed;
+bool ReplicaTracker::HoldersKnown(absl::Time now) const {
+  return m_record_complete || now - m_followed_since > kAbsenceTimeout;
 }
 
 bool ReplicaTracker::HasItsLog(const TargetId& id) const {
--- a/Source/gateway/replica_tracker.h
+++ b/Source/gateway/replica_tracker.h
@@ -37,10 +37,9 @@
 
   // The runs that may hold acknowledged commits, listed or not.
   std::vector<TargetRun> Holders() const;
+  std::vector<TargetRun> UnlistedHolders() const;
   // True if no other run can hold acknowledged commits.
   bool HoldersKnown(absl::Time now) const;
-  // True if this is the run of a listed target.
-  bool IsListed(const TargetRun& run) const;
   // False if an earlier run of the target may have held commits that its
   // present one has not received again.
   bool HasItsLog(const TargetId& id) const;
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -59,7 +59,10 @@
  public:
   static constexpr absl::Duration kPromotionTime = absl::Milliseconds(1000);
 
-  LeadershipCluster(size_t instances, size_t groups) {
+  LeadershipCluster(size_t instances,
+                    size_t groups,
+                    absl::Duration log_wait_limit = absl::InfiniteDuration())
+      : m_log_wait_limit(log_wait_limit) {
     for (size_t group = 0; group < groups; ++group) {
       for (size_t index = 0; index < 3; ++index) {
         FakeDatabase database;
@@ -87,7 +90,8 @@
           store(&cluster->m_loop, &cluster->m_table),
           m_process_store(&m_loop, &store),
           m_manager(std::make_unique<LeadershipManager>(
-              LeadershipSettings{name, incarnation, name, "dc", 1},
+              LeadershipSettings{name, incarnation, name, "dc", 1,
+                                 cluster->m_log_wait_limit},
               &m_loop,
               &m_process_store,
               cluster,
@@ -481,6 +485,7 @@
     CheckAcknowledgements(group);
   }
 
+  const absl::Duration m_log_wait_limit;    // Of all instances.
   std::map<GroupName, TargetId> m_leading;  // The primary of the newest term.
   std::map<std::string, std::unique_ptr<Instance>> m_instances;
   std::vector<std::unique_ptr<Instance>> m_ended_instances;
--- a/Tests/gateway/replica_record_test.cc
+++ b/Tests/gateway/replica_record_test.cc
@@ -278,5 +278,54 @@
   CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db2"});
 }
 
+// After the store has lost the row of a promotion, a deposed primary that was
+// the only listed target was published as the group's first leader.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_OnlyDeposedPrimaryListed_IsNotPublished") {
+  Start();
+  const FakeTable copy = m_cluster->m_table;
+  Database("g0-db2").status.received = {1, 10};
+  Crash("g0-db0");
+  m_cluster->RunFor(absl::Seconds(5));
+  REQUIRE(m_cluster->Leading("g0") == "g0-db1");
+  Crash("g0-db1");
+  Crash("g0-db2");
+  Return("g0-db0");
+  m_cluster->m_table.ReturnTo(copy);
+  m_cluster->m_table.rows.erase(LeadershipView::LeaderKey("g0"));
+  m_cluster->RestartAll();
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  Return("g0-db1");
+  Return("g0-db2");
+  m_cluster->RunFor(absl::Seconds(12));
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// The same without synchronous replicas, of which there is no record. The
+// instances remember the order.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "FirstLeader_OrderedTargetUnlisted_OtherIsNotPublished") {
+  m_cluster = std::make_unique<LeadershipCluster>(3, 1);
+  m_cluster->RunFor(absl::Seconds(4));
+  const FakeTable copy = m_cluster->m_table;
+  Crash("g0-db0");
+  while (m_cluster->promoted.empty()) {
+    m_cluster->RunFor(absl::Milliseconds(50));
+  }
+  m_cluster->RunFor(absl::Milliseconds(200));
+  m_cluster->ReturnStore(copy, absl::ZeroDuration());
+  m_cluster->m_table.rows.erase(LeadershipView::LeaderKey("g0"));
+  m_cluster->RunFor(absl::Seconds(2));
+  REQUIRE(m_cluster->Leading("g0") == "g0-db1");
+  Crash("g0-db1");
+  Crash("g0-db2");
+  Return("g0-db0");
+  m_cluster->RunFor(absl::Seconds(12));
+  CHECK(m_cluster->wrong_acknowledgements == 0);
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
 }  // namespace
 }  // namespace heatherwick
--- a/Tests/gateway/store_return_test.cc
+++ b/Tests/gateway/store_return_test.cc
@@ -768,6 +768,7 @@
   bool change_started = false;
   FirstLeader first_leader(
       "i0", 1, &loop, &store, &groups, &view, "table",
+      [](const GroupName&) { return std::vector<TargetRun>(); },
       [&change_started](const GroupName&, const GroupLeader&) {
         change_started = true;
       });
