gateway: Do not keep a primary that has lost its log

With synchronous replicas, an old primary that had started again under its id, and claimed to lead in the first term, was kept by a change of primary, or its empty log was taken for the one that has every acknowledged commit, while the replica that held the commits was busy.

Cause: the log of a target that claims to lead was not compared with its run.

Change: the claim counts only if no former run of the target is recorded, or if it leads in a later term than the first: a target that has started again knows no term, so that it was promoted since.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -92,6 +92,8 @@
 // In which the members of a new era register. Requests wait meanwhile, as no
 // other instance could serve them.
 constexpr absl::Duration kReregistrationTime = absl::Milliseconds(1500);
+// Targets that know of no promotion are in this term.
+constexpr uint64_t kFirstTerm = 1;
 // An instance counts itself even before it has read its own member row.
 constexpr size_t kMinMembers = 1;
 
@@ -1560,7 +1562,8 @@
   }
   const auto leads = [&](const TargetId& id) {
     const TargetStatus* const status = StatusOf(change, id);
-    return status != nullptr && status->primary && status->term >= newest_term;
+    return status != nullptr && status->primary &&
+           status->term >= newest_term && !ClaimsWithoutLog(group, id, *status);
   };
   if (sync_replicas == 0 || !leader.claimed) {
     if (leads(change.old_primary)) {
@@ -1672,12 +1675,19 @@
   if (status == nullptr || !status->primary ||
       status->term < HighestTerm(change) ||
       status->term < m_view.Leader(group).term ||
-      (ordered && status->term <= change.orders.term_before)) {
+      (ordered ? status->term <= change.orders.term_before
+               : ClaimsWithoutLog(group, target, *status))) {
     return std::nullopt;
   }
   return target;
 }
 
+bool LeadershipManager::ClaimsWithoutLog(const GroupName& group,
+                                         const TargetId& target,
+                                         const TargetStatus& status) const {
+  return status.term <= kFirstTerm && HasLostLog(group, target);
+}
+
 bool LeadershipManager::HasLostLog(const GroupName& group,
                                    const TargetId& target) const {
   return m_groups->SyncReplicas(group) > 0 &&
--- a/Source/gateway/leadership_manager.h
+++ b/Source/gateway/leadership_manager.h
@@ -226,6 +226,12 @@
                                          const PrimaryChange& change);
   // True if a former run of the target may have held commits that it lacks.
   bool HasLostLog(const GroupName& group, const TargetId& target) const;
+  // True if the target's claim to lead is that of an empty log. A target that
+  // has started again knows no term, and leads in a later one than the first
+  // only if it was promoted since then.
+  bool ClaimsWithoutLog(const GroupName& group,
+                        const TargetId& target,
+                        const TargetStatus& status) const;
   // The logs that a choice rests on, as fields of a log line; empty without
   // synchronous replicas.
   std::string DescribeLogs(const GroupName& group,
--- a/Tests/gateway/replica_record_test.cc
+++ b/Tests/gateway/replica_record_test.cc
@@ -327,5 +327,21 @@
   CHECK(m_cluster->AllUse("g0", "g0-db0"));
 }
 
+// A primary that had started again with an empty log, and claimed to lead in
+// the first term, was kept while the replica with the commits was busy.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_OldPrimaryLosesLog_IsNotKept") {
+  Start();
+  Database("g0-db1").busy_statuses = 40;
+  Crash("g0-db0");
+  m_cluster->RunFor(absl::Milliseconds(1500));
+  Return("g0-db0");
+  Database("g0-db0").started_unix_ms = 2;
+  Database("g0-db0").status.received = {1, 0};
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
 }  // namespace
 }  // namespace heatherwick
