gateway: Ask refused targets again as soon as all have refused

If the platform had refused the orders for all candidates (409), the change waited until another instance took it over, up to 5 s.

Cause: builds the list of logs anew, and a target that is not asked because it refused was no longer marked as excluded, so that the refusals were not cleared. This also concerns groups without synchronous replicas.

Change: the mark is set again.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -1610,7 +1610,8 @@
   }
   for (const auto& [id, description] : UnknownLogs(group, *change)) {
     if (id != change->old_primary || claimed) {
-      logs.push_back({description, std::nullopt});
+      logs.push_back(
+          {description, std::nullopt, !change->rejected.contains(id)});
     }
   }
   std::optional<Position> leading_log;
--- a/Tests/gateway/leadership_manager_test.cc
+++ b/Tests/gateway/leadership_manager_test.cc
@@ -792,5 +792,25 @@
   }
 }
 
+// A replica whose order was refused is not asked again until all were refused.
+// Guards against a change that then waits until another instance takes it over.
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "LeadershipManager_AllReplicasRefuse_AreOrderedAgain") {
+  Start(3);
+  bool refuses = true;
+  m_cluster->order_fate = [&refuses](const TargetId&) {
+    OrderFate fate{LeadershipCluster::kPromotionTime};
+    fate.refused = refuses;
+    return fate;
+  };
+  m_cluster->m_databases["g0-db0"].alive = false;
+  m_cluster->RunFor(absl::Milliseconds(2500));
+  CHECK(m_cluster->promoted.size() >= 2);
+  refuses = false;
+  m_cluster->RunFor(absl::Seconds(2));
+  CHECK(m_cluster->AllUse("g0", m_cluster->Leading("g0")));
+  CHECK(m_cluster->Leading("g0") != "g0-db0");
+}
+
 }  // namespace
 }  // namespace heatherwick
