gateway: Ignore a malformed record of replicas of an earlier era

A record of an earlier era that cannot be read was kept as one without targets, so that a started instance took the listed targets for all holders of commits.

Change: such a row is skipped, like other rows of earlier eras. The check for replicas that have left the list asks for the list once.

--- a/Source/gateway/leadership_view.cc
+++ b/Source/gateway/leadership_view.cc
@@ -186,8 +186,11 @@
       }
     } else if (absl::ConsumePrefix(&key, kReplicasPrefix)) {
       const Result<ReplicaSet> parsed = ParseReplicas(row);
+      if (!Ok(parsed) || !IsName(key)) {
+        continue;
+      }
       RecordedReplicas& earlier = m_earlier_replicas[std::string(key)];
-      if (Ok(parsed) && row.version > earlier.row_version) {
+      if (row.version > earlier.row_version) {
         earlier = {ValueOf(parsed), row.version};
       }
     } else if (absl::ConsumePrefix(&key, kMemberPrefix)) {
--- a/Source/gateway/replica_recorder.cc
+++ b/Source/gateway/replica_recorder.cc
@@ -141,9 +141,9 @@
 void ReplicaRecorder::OnAllAnswered(const GroupName& group,
                                     const std::shared_ptr<CatchUp>& catch_up) {
   GroupState& state = StateOf(group);
-  // Runs that left the list since they were asked do not count.
-  std::erase_if(catch_up->caught_up, [this, &group](const TargetId& id) {
-    const std::vector<ListedTarget> targets = m_groups->Targets(group);
+  // Replicas that have left the list since they were asked do not count.
+  const std::vector<ListedTarget> targets = m_groups->Targets(group);
+  std::erase_if(catch_up->caught_up, [&targets](const TargetId& id) {
     return std::none_of(
         targets.begin(), targets.end(),
         [&id](const ListedTarget& target) { return target.id == id; });
--- a/Tests/gateway/leadership_view_test.cc
+++ b/Tests/gateway/leadership_view_test.cc
@@ -78,6 +78,20 @@
   CHECK(m_view.EarlierReplicas("g")->replicas == replicas);
 }
 
+// A record of an earlier era that cannot be read must not pass for one that
+// names no target.
+TEST_CASE_FIXTURE(ViewFixture,
+                  "LeadershipView_EarlierReplicasMalformed_AreNotKnown") {
+  m_view.BeginEra(1, m_now);
+  RowChanges changes;
+  changes.version = QualifyVersion(1, 1);
+  changes.as_of = m_now;
+  changes.earlier_rows = {
+      {LeadershipView::ReplicasKey("g"), R"({"runs":[7]})", 3, false}};
+  m_view.Apply(changes, m_now);
+  CHECK(m_view.EarlierReplicas("g") == nullptr);
+}
+
 // A peer of the era before announces rows that are no longer in force.
 TEST_CASE_FIXTURE(ViewFixture,
                   "LeadershipView_AnnouncedRowOfOtherEra_IsIgnored") {
