gateway: Find the leading log once for each choice

Change: ChooseFromStatuses keeps the leading log in the change, the constant stands in first_leader_choice.h for both, and the include goes. Behaviour is as before.

--- a/Source/decision/first_leader_choice.cc
+++ b/Source/decision/first_leader_choice.cc
@@ -14,8 +14,6 @@
     {FirstLeaderAction::kPublish, "publish"},
     {FirstLeaderAction::kElect, "elect"},
 };
-// Targets of a group that has never changed its primary are in this term.
-constexpr uint64_t kFirstTerm = 1;
 
 struct Summary {
   bool any_answered = false;
--- a/Source/decision/first_leader_choice.h
+++ b/Source/decision/first_leader_choice.h
@@ -20,6 +20,9 @@
 
 namespace heatherwick {
 
+// Targets of a group that has never changed its primary are in this term.
+inline constexpr uint64_t kFirstTerm = 1;
+
 enum class FirstLeaderAction {
   kWait,
   kPublish,  // The target is known to lead.
--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -92,8 +92,6 @@
 // In which the members of a new era register. Requests wait meanwhile, as no
 // other instance could serve them.
 constexpr absl::Duration kReregistrationTime = absl::Milliseconds(1500);
-// Targets that know of no promotion are in this term.
-constexpr uint64_t kFirstTerm = 1;
 // An instance counts itself even before it has read its own member row.
 constexpr size_t kMinMembers = 1;
 
@@ -135,6 +133,8 @@
   // Version of the record of replicas from which the candidate was chosen, if
   // the choice depends on it; 0 if there was none.
   std::optional<uint64_t> replicas_version;
+  // FindLeadingLog() of these statuses.
+  std::optional<TargetId> leading_log;
   std::set<TargetId> rejected;  // The platform reported that they don't run.
   // What was last logged on why no target can be promoted.
   std::string logged_wait;
@@ -1614,16 +1614,16 @@
           {description, std::nullopt, !change->rejected.contains(id)});
     }
   }
-  std::optional<Position> leading_log;
-  const std::optional<TargetId> leading = FindLeadingLog(group, *change);
-  if (leading) {
-    leading_log = StatusOf(*change, *leading)->received;
+  change->leading_log = FindLeadingLog(group, *change);
+  std::optional<Position> leading_position;
+  if (change->leading_log) {
+    leading_position = StatusOf(*change, *change->leading_log)->received;
   }
   if (sync_replicas > 0) {
     change->replicas_version = tracker.RecordVersion();
   }
-  return ChoosePromotion(sync_replicas + (claimed ? 1 : 0), logs, leading_log,
-                         tracker.HoldersKnown(m_loop->Now()));
+  return ChoosePromotion(sync_replicas + (claimed ? 1 : 0), logs,
+                         leading_position, tracker.HoldersKnown(m_loop->Now()));
 }
 
 void LeadershipManager::KeepPrimary(const GroupName& group, uint64_t attempt) {
@@ -1760,7 +1760,7 @@
   const bool none_safe = !choice.target && (choice.required != Position{} ||
                                             !choice.excluded.empty());
   // An unplanned change does not discard commits of a primary that still leads.
-  const bool can_keep = FindLeadingLog(group, *change) == change->old_primary;
+  const bool can_keep = change->leading_log == change->old_primary;
   if (can_keep && !may_wait &&
       (none_safe || (!change->planned && (!choice.target || behind)))) {
     KeepPrimary(group, attempt);
--- a/Source/gateway/replica_recorder.cc
+++ b/Source/gateway/replica_recorder.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "Source/gateway/promotion_limits.h"
-#include "absl/strings/str_join.h"
 #include "glog/logging.h"
 
 namespace heatherwick {
