decision: Say which logs count as the old primary's

Cause: since the position of another target that leads in the newest term may be handed over; the comment named the old primary only.

Change: the comment names both.

Result: a comment only; the file compiles, the formatter is clean.

--- a/Source/decision/promotion_choice.h
+++ b/Source/decision/promotion_choice.h
@@ -47,8 +47,9 @@
 
 // `replicas` lists the targets that may hold acknowledged commits, except the
 // old primary. `old_primary` is the end of the old primary's log, if it still
-// leads and answers. A draining target is chosen only if no other is safe, and
-// only with synchronous replicas, as it has to be replaced again soon.
+// leads and answers, or of that of another target which is certain to lead. A
+// draining target is chosen only if no other is safe, and only with synchronous
+// replicas, as it has to be replaced again soon.
 //
 // `all_listed` is false if targets that are not in `replicas` may hold
 // acknowledged commits. Only the old primary's log is certain then.
