gateway: Do not trust an empty log before the target's new entry is read

Cause: a target that starts again under its id has an empty log, and answers before its new entry is read. Whether a log is known was decided by the start in the entry, so that the empty log counted as that of the earlier run: another replica was promoted without commits that the old primary held, an old primary was kept without its log, and a departed target was removed from the record after a comparison with the empty log of its primary.

Change: an answer with an empty log counts as missing until the same entry has been listed for another 4 s (three heartbeat intervals and the time to read the list) in which the store could be read. A group that is really empty is delayed by that; an answer with entries counts at once.

--- a/Source/gateway/leadership_manager.cc
+++ b/Source/gateway/leadership_manager.cc
@@ -387,6 +387,7 @@
 void LeadershipManager::OnPolled(Result<RowChanges> polled) {
   if (!Ok(polled)) {
     const Error& error = ErrorOf(polled);
+    m_replica_recorder.OnStoreUnavailable();
     if (error.kind == ErrorKind::kNotFound) {
       m_table_loaded = false;
       LOG(INFO) << "event=leadership_history_lost outcome=table_is_read";
@@ -1466,9 +1467,11 @@
           if (pending == nullptr || pending->statuses_pending == 0) {
             return;
           }
-          if (status && id == pending->old_primary) {
+          const bool known =
+              status && m_replica_recorder.IsOfListedRun(group, id, *status);
+          if (known && id == pending->old_primary) {
             pending->old_status = status;
-          } else if (status) {
+          } else if (known) {
             pending->statuses[id] = *status;
           }
           if (--pending->statuses_pending == 0) {
--- a/Source/gateway/replica_recorder.cc
+++ b/Source/gateway/replica_recorder.cc
@@ -53,6 +53,22 @@
   }
 }
 
+void ReplicaRecorder::OnStoreUnavailable() {
+  for (auto& [group, state] : m_states) {
+    state.tracker.OnStoreUnavailable();
+  }
+}
+
+bool ReplicaRecorder::IsOfListedRun(const GroupName& group,
+                                    const TargetId& id,
+                                    const TargetStatus& status) {
+  // The target may have been listed since the last call.
+  Update(group);
+  return m_groups->SyncReplicas(group) == 0 ||
+         StateOf(group).tracker.IsOfListedRun(id, status.received,
+                                              m_loop->Now());
+}
+
 void ReplicaRecorder::Maintain(const GroupName& group, absl::Duration stagger) {
   if (m_groups->SyncReplicas(group) == 0) {
     return;
@@ -121,7 +137,8 @@
                                const TargetId& id,
                                const std::optional<TargetStatus>& status) {
   const GroupLeader& leader = m_view->Leader(group);
-  if (status && status->term >= leader.term) {
+  if (status && status->term >= leader.term &&
+      IsOfListedRun(group, id, *status)) {
     if (id != leader.primary) {
       if (!status->primary && catch_up->required &&
           status->received >= *catch_up->required) {
--- a/Source/gateway/replica_recorder.h
+++ b/Source/gateway/replica_recorder.h
@@ -48,6 +48,14 @@
   // another one can act before it.
   void Maintain(const GroupName& group, absl::Duration stagger);
 
+  // Must be called for each poll of the store that fails.
+  void OnStoreUnavailable();
+  // ReplicaTracker::IsOfListedRun(); true for a group without synchronous
+  // replicas.
+  bool IsOfListedRun(const GroupName& group,
+                     const TargetId& id,
+                     const TargetStatus& status);
+
   // As of the last call of Update().
   const ReplicaTracker& Tracker(const GroupName& group) const;
 
--- a/Source/gateway/replica_tracker.cc
+++ b/Source/gateway/replica_tracker.cc
@@ -14,6 +14,9 @@
 // A crashed target comes back, and a live one that could not reach the store is
 // listed again, within this time.
 constexpr absl::Duration kAbsenceTimeout = absl::Seconds(12);
+// A target that has started again has replaced its entry, or the entry has
+// expired, within this time.
+constexpr absl::Duration kEntryTimeout = absl::Seconds(4);
 
 }  // namespace
 
@@ -138,6 +141,26 @@
                       });
 }
 
+bool ReplicaTracker::IsOfListedRun(const TargetId& id,
+                                   const Position& received,
+                                   absl::Time now) {
+  for (auto& [run, holder] : m_holders) {
+    if (run.id != id || !holder.listed) {
+      continue;
+    }
+    holder.empty_since = received.lsn > 0 ? absl::InfiniteFuture()
+                                          : std::min(holder.empty_since, now);
+    return received.lsn > 0 || now - holder.empty_since > kEntryTimeout;
+  }
+  return true;
+}
+
+void ReplicaTracker::OnStoreUnavailable() {
+  for (auto& [run, holder] : m_holders) {
+    holder.empty_since = absl::InfiniteFuture();
+  }
+}
+
 bool ReplicaTracker::RecordLacksRuns() const {
   return m_record_complete &&
          std::any_of(m_holders.begin(), m_holders.end(),
--- a/Source/gateway/replica_tracker.h
+++ b/Source/gateway/replica_tracker.h
@@ -43,6 +43,15 @@
   // False if an earlier run of the target may have held commits that its
   // present one has not received again.
   bool HasItsLog(const TargetId& id) const;
+  // Whether a status with the log end `received` is of the target's listed run.
+  // A target that has started again answers before its new entry is read, so
+  // that an empty log counts as that of a later run until the entry must have
+  // been read. True for a target that is not listed.
+  bool IsOfListedRun(const TargetId& id,
+                     const Position& received,
+                     absl::Time now);
+  // The store could not be read, and targets could not write their entries.
+  void OnStoreUnavailable();
 
   // True if the record is complete, but lacks a run.
   bool RecordLacksRuns() const;
@@ -67,6 +76,9 @@
     // Last time it was listed, or when its record was first read.
     absl::Time last_listed;
     bool listed = false;
+    // Since when it has only answered with an empty log while the store could
+    // be read.
+    absl::Time empty_since = absl::InfiniteFuture();
     // The record of the present era has `state`.
     bool recorded = false;
     bool given_up = false;  // m_log_wait_limit has passed.
--- a/Tests/gateway/leadership_cluster.h
+++ b/Tests/gateway/leadership_cluster.h
@@ -34,6 +34,8 @@
   // The claim of its entry, if that is an older copy.
   std::optional<bool> registered_claim;
   int64_t started_unix_ms = 1;
+  // The start in its entry, if that is still the one of an earlier run.
+  std::optional<int64_t> registered_start;
   int busy_statuses = 0;  // Status queries that are refused before the next.
   TargetStatus status;
 };
@@ -138,7 +140,8 @@
           target.id = id;
           target.group = group;
           target.address = database.address.empty() ? id : database.address;
-          target.started_unix_ms = database.started_unix_ms;
+          target.started_unix_ms =
+              database.registered_start.value_or(database.started_unix_ms);
           target.draining = database.draining;
           target.claims_primary =
               database.registered_claim.value_or(database.status.primary);
--- a/Tests/gateway/replica_record_test.cc
+++ b/Tests/gateway/replica_record_test.cc
@@ -38,6 +38,17 @@
     Database(id).alive = false;
     Database(id).listed = false;
   }
+  // The target starts again with an empty log. Its entry is that of the earlier
+  // run for as long as a heartbeat may take.
+  void RestartEmpty(const TargetId& id) {
+    Database(id).registered_start = Database(id).started_unix_ms;
+    Database(id).started_unix_ms = 2;
+    Database(id).status.received = {1, 0};
+    Database(id).alive = true;
+    Database(id).listed = true;
+    m_cluster->RunFor(absl::Milliseconds(1200));
+    Database(id).registered_start.reset();
+  }
   void Return(const TargetId& id) {
     Database(id).alive = true;
     Database(id).listed = true;
@@ -343,5 +354,60 @@
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
 }
 
+// A replica that had started again answered with its empty log before its new
+// entry was read. The log counted as known, and the other replica was promoted
+// without commits that the old primary held.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_RestartNotYetListed_EmptyLogIsNotTrusted") {
+  Start();
+  Crash("g0-db0");
+  m_cluster->RunFor(absl::Milliseconds(800));
+  RestartEmpty("g0-db1");
+  m_cluster->RunFor(absl::Seconds(6));
+  CHECK(m_cluster->promoted.empty());
+  Return("g0-db0");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->AllUse("g0", "g0-db0"));
+}
+
+// The same with the old primary, which was kept with its empty log.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_OldPrimaryRestartNotYetListed_IsNotKept") {
+  Start();
+  Database("g0-db1").busy_statuses = 40;
+  Crash("g0-db0");
+  m_cluster->RunFor(absl::Milliseconds(1500));
+  RestartEmpty("g0-db0");
+  m_cluster->RunFor(absl::Seconds(8));
+  CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
+  CHECK(m_cluster->AllUse("g0", "g0-db1"));
+}
+
+// The same with the log that the replicas must have received before the record
+// forgets a departed target.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_PrimaryRestartNotYetListed_TargetStays") {
+  Start();
+  Crash("g0-db1");
+  m_cluster->RunFor(absl::Milliseconds(11900));
+  REQUIRE(IsRecorded("g0-db1"));
+  RestartEmpty("g0-db0");
+  m_cluster->RunFor(absl::Seconds(3));
+  CHECK(IsRecorded("g0-db1"));
+}
+
+// Guards against a group without any commit that never has a primary again.
+TEST_CASE_FIXTURE(ReplicaRecordFixture,
+                  "ReplicaRecord_AllLogsEmpty_ReplicaIsPromoted") {
+  Start();
+  for (const TargetId id : {"g0-db0", "g0-db1", "g0-db2"}) {
+    Database(id).status.received = {1, 0};
+  }
+  Crash("g0-db0");
+  m_cluster->RunFor(absl::Seconds(12));
+  CHECK(m_cluster->promoted.size() == 1);
+  CHECK(m_cluster->AllUse("g0", m_cluster->Leading("g0")));
+}
+
 }  // namespace
 }  // namespace heatherwick
--- a/Tests/gateway/replica_tracker_test.cc
+++ b/Tests/gateway/replica_tracker_test.cc
@@ -55,6 +55,49 @@
   CHECK(m_tracker.Holders() == std::vector<TargetRun>{{"a", 1}, {"b", 1}});
 }
 
+// Guards against counting the empty log of a target that has started again as
+// the log that it had before.
+TEST_CASE_FIXTURE(ReplicaTrackerFixture,
+                  "ReplicaTracker_EmptyLog_CountsOnceEntryMustHaveBeenRead") {
+  List("a", "1", 1);
+  UpdateAfter(absl::ZeroDuration());
+  CHECK(m_tracker.IsOfListedRun("a", {1, 5}, m_now));
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  UpdateAfter(absl::Seconds(4));
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  UpdateAfter(absl::Milliseconds(1));
+  CHECK(m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  CHECK(m_tracker.IsOfListedRun("b", {1, 0}, m_now));
+}
+
+// Guards against a wait that ends while the target cannot write its new entry.
+TEST_CASE_FIXTURE(ReplicaTrackerFixture,
+                  "ReplicaTracker_StoreIsAway_EmptyLogWaitsAgain") {
+  List("a", "1", 1);
+  UpdateAfter(absl::ZeroDuration());
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  UpdateAfter(absl::Seconds(3));
+  m_tracker.OnStoreUnavailable();
+  UpdateAfter(absl::Seconds(3));
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  UpdateAfter(absl::Milliseconds(4001));
+  CHECK(m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+}
+
+// Guards against the wait of a run that is over delaying its successor, or
+// ending that one's.
+TEST_CASE_FIXTURE(ReplicaTrackerFixture,
+                  "ReplicaTracker_TargetStartsAgain_ItsEmptyLogWaitsAnew") {
+  List("a", "1", 1);
+  UpdateAfter(absl::ZeroDuration());
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+  m_listed.clear();
+  List("a", "1", 2);
+  UpdateAfter(absl::Seconds(5));
+  CHECK(m_tracker.IsOfListedRun("a", {1, 5}, m_now));
+  CHECK(!m_tracker.IsOfListedRun("a", {1, 0}, m_now));
+}
+
 // The operator prefers a primary to the commits of a target that is gone.
 TEST_CASE_FIXTURE(ReplicaTrackerFixture,
                   "ReplicaTracker_LogWaitLimit_TargetIsGivenUpAfterIt") {
--- a/Tests/gateway/sync_commit_test.cc
+++ b/Tests/gateway/sync_commit_test.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr absl::Duration kStep = absl::Milliseconds(50);
+constexpr absl::Duration kHeartbeatInterval = absl::Milliseconds(1200);
+// Entries are written again within this time of the store's return.
+constexpr absl::Duration kRegistrationTime = absl::Seconds(2);
 // An entry is removed after three heartbeat intervals of silence.
 constexpr absl::Duration kEntryLifetime = absl::Milliseconds(3600);
 // A deposed primary follows its successor this long after it can reach it.
@@ -127,6 +130,7 @@
     absl::Time crashed_at = absl::InfinitePast();
     absl::Time back_at = absl::InfinitePast();  // Infinite: gone for good.
     absl::Time follows_at = absl::InfiniteFuture();
+    absl::Time registers_at = absl::InfinitePast();
   };
 
   absl::Time Now() { return m_cluster->m_loop.Now(); }
@@ -190,8 +194,13 @@
     if (id == Leading() || Database(id).status.primary || ordered) {
       return;
     }
-    Database(id).started_unix_ms = absl::ToUnixMillis(Now());
-    Database(id).status.received = {};
+    FakeDatabase& database = Database(id);
+    if (!database.registered_start) {
+      database.registered_start = database.started_unix_ms;
+    }
+    m_databases.at(id).registers_at = Now() + RandomTime(kHeartbeatInterval);
+    database.started_unix_ms = absl::ToUnixMillis(Now());
+    database.status.received = {};
   }
   void ReplaceForGood(const TargetId& id) {
     Crash(id, absl::InfiniteDuration());
@@ -248,6 +257,10 @@
       state->follows_at = absl::InfiniteFuture();
     }
     database.listed = database.listed || Now() >= m_store_back_at;
+    if (Now() >=
+        std::max(state->registers_at, m_store_back_at + kRegistrationTime)) {
+      database.registered_start.reset();
+    }
     if (id == Leading() || !Database(Leading()).alive) {
       return;
     }
