soak: Add synchronous replicas

The check: no promotion discards a write that was reported done. Groups without synchronous replicas behave as before.

--- a/Tests/platform/platform_fakes.cc
+++ b/Tests/platform/platform_fakes.cc
@@ -31,6 +31,13 @@
 
 // With a copy each 250 ms, the oldest is 8 s old.
 constexpr size_t kCopiesKept = 32;
+// After this time a commit that too few replicas have received is answered as
+// one whose outcome is unknown.
+constexpr absl::Duration kSyncCommitTimeout = absl::Seconds(1);
+constexpr absl::Duration kSyncCommitPoll = absl::Milliseconds(2);
+// So many commits go to the same replicas before others receive theirs, so that
+// the logs of replicas differ.
+constexpr size_t kCommitsToSameReplicas = 8;
 
 std::string Parameter(const std::string& target, const std::string& name) {
   const std::vector<std::string> parts =
@@ -318,6 +325,9 @@
     Database& database = m_databases[id];
     database.term = m_term;
     database.log_offset = m_term;
+    if (m_options.sync_replicas > 0) {
+      database.started_unix_ms = absl::ToUnixMillis(absl::Now());
+    }
     database.server = std::make_unique<LoopbackServer>(
         [this, id](tcp::socket socket) { Serve(id, std::move(socket)); });
     if (index == 0) {
@@ -331,13 +341,15 @@
 void FakeDatabaseGroup::Register(const std::string& id) {
   const Database& database = m_databases[id];
   const std::string address = database.server->Address();
-  m_store->Put("servers", id,
-               json{{"service", m_service},
-                    {"address", m_route ? m_route(address) : address},
-                    {"zone", "z-a"},
-                    {"state", database.draining ? "draining" : "ready"},
-                    {"dbRole", database.is_primary ? "primary" : "replica"}}
-                   .dump());
+  json entry = {{"service", m_service},
+                {"address", m_route ? m_route(address) : address},
+                {"zone", "z-a"},
+                {"state", database.draining ? "draining" : "ready"},
+                {"dbRole", database.is_primary ? "primary" : "replica"}};
+  if (database.started_unix_ms > 0) {
+    entry["born"] = database.started_unix_ms;
+  }
+  m_store->Put("servers", id, entry.dump());
 }
 
 void FakeDatabaseGroup::RunLater(absl::Duration delay,
@@ -359,14 +371,16 @@
     if (!m_databases[id].alive) {
       return 409;
     }
+    ++m_databases[id].pending_orders;
   }
   RunLater(delay.value_or(m_options.promotion_delay), [this, id]() {
     absl::MutexLock lock(&m_mutex);
     Database& promoted = m_databases[id];
+    --promoted.pending_orders;
     if (id == m_primary || !promoted.alive) {
       return;
     }
-    Replicate(&promoted);
+    Replicate(&promoted, m_options.lag);
     const std::string old = m_primary;
     for (const size_t index : m_databases[old].log) {
       FakeCommit& commit = m_commits[index];
@@ -377,6 +391,7 @@
     promoted.is_primary = true;
     promoted.term = ++m_term;
     ++promoted.log_offset;
+    m_term_log_size = promoted.log.size();
     Register(id);
     // Another thread, because this one holds m_mutex.
     std::thread([this, old]() { DemoteLater(old); }).detach();
@@ -413,23 +428,65 @@
   }
 }
 
+void FakeDatabaseGroup::Stop(const std::string& id) {
+  if (m_options.sync_replicas > 0) {
+    // What replicas receive from now on depends on this database.
+    for (auto& [other, database] : m_databases) {
+      Replicate(&database, m_options.lag);
+    }
+  }
+  m_databases[id].alive = false;
+  m_databases[id].server->Close();
+}
+
+void FakeDatabaseGroup::Start(const std::string& id) {
+  Database& database = m_databases[id];
+  database.alive = true;
+  database.is_primary = id == m_primary;
+  database.server->Reopen();
+  Register(id);
+}
+
 void FakeDatabaseGroup::Crash(const std::string& id) {
   {
     absl::MutexLock lock(&m_mutex);
-    m_databases[id].alive = false;
-    m_databases[id].server->Close();
+    Stop(id);
   }
   m_store->Drop("servers", id);
 }
 
 void FakeDatabaseGroup::Restart(const std::string& id) {
+  absl::MutexLock lock(&m_mutex);
+  if (!m_databases[id].alive && !m_databases[id].log_lost) {
+    Start(id);
+  }
+}
+
+bool FakeDatabaseGroup::LoseLog(const std::string& id) {
+  {
+    absl::MutexLock lock(&m_mutex);
+    Database& database = m_databases[id];
+    if (id == m_primary || database.is_primary || database.pending_orders > 0) {
+      return false;
+    }
+    Stop(id);
+    database.log_lost = true;
+    database.term = 1;
+    database.log.clear();
+    database.log_offset = 0;
+    database.items.clear();
+  }
+  m_store->Drop("servers", id);
+  return true;
+}
+
+void FakeDatabaseGroup::RestartEmpty(const std::string& id) {
   absl::MutexLock lock(&m_mutex);
   Database& database = m_databases[id];
-  if (!database.alive) {
-    database.alive = true;
-    database.is_primary = id == m_primary;
-    database.server->Reopen();
-    Register(id);
+  if (database.log_lost) {
+    database.log_lost = false;
+    database.started_unix_ms = absl::ToUnixMillis(absl::Now());
+    Start(id);
   }
 }
 
@@ -507,12 +564,54 @@
   Append(database, m_commits.size() - 1);
 }
 
-void FakeDatabaseGroup::Replicate(Database* database) {
+bool FakeDatabaseGroup::AwaitReplicas(const std::string& id) {
+  const size_t commit = m_databases[id].log.back();
+  const absl::Time end = SteadyNow() + kSyncCommitTimeout;
+  while (true) {
+    const Database& primary = m_databases[id];
+    if (id != m_primary || !primary.alive ||
+        std::find(primary.log.rbegin(), primary.log.rend(), commit) ==
+            primary.log.rend()) {
+      return false;
+    }
+    std::vector<Database*> followers;
+    for (auto& [other, database] : m_databases) {
+      if (database.alive && !database.is_primary) {
+        followers.push_back(&database);
+      }
+    }
+    if (followers.size() >= m_options.sync_replicas) {
+      const size_t first = commit / kCommitsToSameReplicas;
+      for (size_t index = 0; index < m_options.sync_replicas; ++index) {
+        Replicate(followers[(first + index) % followers.size()],
+                  absl::ZeroDuration());
+      }
+      return true;
+    }
+    if (SteadyNow() >= end) {
+      return false;
+    }
+    m_mutex.Unlock();
+    absl::SleepFor(kSyncCommitPoll);
+    m_mutex.Lock();
+  }
+}
+
+std::string FakeDatabaseGroup::FormatCommitted(const std::string& id,
+                                               const std::string& tag) {
+  return m_options.sync_replicas == 0 || AwaitReplicas(id)
+             ? absl::StrCat("COMPLETE ", tag)
+             : absl::StrCat("ERROR TIMEOUT ", id);
+}
+
+void FakeDatabaseGroup::Replicate(Database* database, absl::Duration lag) {
   Database& primary = m_databases[m_primary];
-  if (database->is_primary || database == &primary) {
+  const bool connected =
+      m_options.sync_replicas == 0 || (primary.alive && database->alive);
+  if (database->is_primary || database == &primary || !connected) {
     return;
   }
-  const absl::Time until = SteadyNow() - m_options.lag;
+  const absl::Time until = SteadyNow() - lag;
   const bool log_is_prefix =
       database->log.size() <= primary.log.size() &&
       std::equal(database->log.begin(), database->log.end(),
@@ -521,12 +620,15 @@
     database->log.clear();
     database->items.clear();
   }
-  database->term = primary.term;
-  database->log_offset = primary.log_offset;
   while (database->log.size() < primary.log.size() &&
          m_commits[primary.log[database->log.size()]].committed <= until) {
     Append(database, primary.log[database->log.size()]);
   }
+  // A position in the term implies all commits of earlier ones.
+  if (database->log.size() >= m_term_log_size) {
+    database->term = primary.term;
+    database->log_offset = primary.log_offset;
+  }
 }
 
 std::pair<uint64_t, uint64_t> FakeDatabaseGroup::LogEnd(
@@ -578,7 +680,7 @@
                                              Session* session) {
   absl::MutexLock lock(&m_mutex);
   Database& database = m_databases[id];
-  Replicate(&database);
+  Replicate(&database, m_options.lag);
   std::vector<std::string> words = absl::StrSplit(line, ' ');
   const std::string statement = words[1];
   words.erase(words.begin(), words.begin() + 2);  // QUERY and the id.
@@ -630,11 +732,12 @@
   } else if (words[0] == "ROLLBACK") {
     *session = {session->workspace, false, false, false, {}, session->prepared};
   } else if (words[0] == "COMMIT") {
+    const bool wrote = !session->writes.empty();
     for (const auto& [item, value] : session->writes) {
       Commit(database, statement, item, value);
     }
     *session = {session->workspace, false, false, false, {}, session->prepared};
-    return "COMPLETE commit";
+    return wrote ? FormatCommitted(id, "commit") : "COMPLETE commit";
   } else if (words[0] == "READ") {
     RecordRun(*database, id, statement, false);
     *rows = absl::StrCat("DATAROW ", database->items[words[1]], "\r\n");
@@ -645,6 +748,7 @@
       session->writes.emplace_back(words[1], words[2]);
     } else {
       Commit(database, statement, words[1], words[2]);
+      return FormatCommitted(id, absl::StrCat("write.", id));
     }
     return absl::StrCat("COMPLETE write.", id);
   } else if (words[0] == "PREPARE") {
--- a/Tests/platform/platform_fakes.h
+++ b/Tests/platform/platform_fakes.h
@@ -167,10 +167,14 @@
   // The term that the databases begin in. Their logs have one entry for each
   // term up to it.
   uint64_t first_term = 1;
+  // Replicas that receive a commit before it is acknowledged. If there are any,
+  // replicas receive nothing from a primary that does not run, and databases
+  // state their starts.
+  uint32_t sync_replicas = 0;
 };
 
-// A group of databases with asynchronous replication, terms and promotion. A
-// replaced primary continues to accept writes in its term for a while.
+// A group of databases with replication, terms and promotion. A replaced
+// primary continues to accept writes in its term for a while.
 class FakeDatabaseGroup {
  public:
   // Maps the address of a database to the address that the group registers for
@@ -192,8 +196,13 @@
   void SetDraining(const std::string& id, bool draining);
   // Stops the database; connections are refused until it is restarted.
   void Crash(const std::string& id);
-  // Starts the database again with the log that it had.
+  // Starts the database again with the log that it had, unless it has lost it.
   void Restart(const std::string& id);
+  // Stops a replica, which loses its log. Does nothing and returns false if the
+  // database leads, or is to lead by an order that has not taken effect.
+  bool LoseLog(const std::string& id);
+  // Starts a database that has lost its log.
+  void RestartEmpty(const std::string& id);
   std::string Primary();
   std::vector<std::string> Names() const;
   // The values of all commits, in order.
@@ -218,9 +227,12 @@
     bool alive = true;
     bool draining = false;
     bool is_primary = false;
-    uint64_t term = 0;        // The term that it leads or follows.
-    std::vector<size_t> log;  // Indices into m_commits.
-    uint64_t log_offset = 0;  // Position just before the first entry.
+    uint64_t term = 0;            // The term that it leads or follows.
+    std::vector<size_t> log;      // Indices into m_commits.
+    uint64_t log_offset = 0;      // Position just before the first entry.
+    int64_t started_unix_ms = 0;  // 0 if it does not state its start.
+    bool log_lost = false;        // Since it was stopped.
+    int pending_orders = 0;       // That have not taken effect.
     std::map<std::string, std::string> items;
   };
 
@@ -238,14 +250,24 @@
               const std::string& statement,
               const std::string& item,
               const std::string& value);
+  // Waits until enough replicas have received all that the database has
+  // committed. False if they do not in time, or if it is replaced meanwhile.
+  // Releases the mutex while it waits.
+  bool AwaitReplicas(const std::string& id);
+  // The statement's answer once its commit may be acknowledged.
+  std::string FormatCommitted(const std::string& id, const std::string& tag);
   void Append(Database* database, size_t commit);
   void RecordRun(const Database& database,
                  const std::string& id,
                  const std::string& statement,
                  bool writes);
   // Copies to the replica `database` the primary's commits that are older than
-  // the replication lag.
-  void Replicate(Database* database);
+  // `lag`.
+  void Replicate(Database* database, absl::Duration lag);
+  // Stops the database.
+  void Stop(const std::string& id);
+  // Starts the database.
+  void Start(const std::string& id);
   void Demote(const std::string& id);
   // Demotes `id` after the demotion delay, and not before the new primary runs.
   void DemoteLater(const std::string& id);
@@ -263,6 +285,7 @@
   std::map<std::string, Database> m_databases;
   std::string m_primary;  // The primary of the newest term.
   uint64_t m_term;
+  size_t m_term_log_size = 0;  // Of the primary when m_term began.
   std::vector<FakeCommit> m_commits;
   std::vector<FakeStatement> m_statements;
   std::vector<FakeRun> m_runs;
--- a/Tests/platform/soak/call_history.cc
+++ b/Tests/platform/soak/call_history.cc
@@ -216,6 +216,24 @@
   return violations;
 }
 
+std::vector<std::string> CallHistory::CheckSynchronous(
+    const std::vector<FakeCommit>& commits) const {
+  absl::MutexLock lock(&m_mutex);
+  std::vector<std::string> violations;
+  const std::map<WriteId, CommittedWrite> committed_writes =
+      CommittedWritesOf(commits);
+  for (const WriteRecord& write : m_writes) {
+    const auto found = committed_writes.find({write.item, write.number});
+    if (write.outcome == WriteOutcome::kDone &&
+        found != committed_writes.end() && found->second.lost_in_promotion) {
+      violations.push_back(
+          absl::StrCat("write ", write.number, " of ", write.item,
+                       " was reported as done and lost in a promotion"));
+    }
+  }
+  return violations;
+}
+
 std::vector<absl::Duration> CallHistory::TimesToNextWrite(
     absl::Time event,
     const std::vector<std::string>& items) const {
--- a/Tests/platform/soak/call_history.h
+++ b/Tests/platform/soak/call_history.h
@@ -64,6 +64,10 @@
   // that had all commits which its route demands. `commits` are the group's.
   std::vector<std::string> CheckRuns(const std::vector<FakeCommit>& commits,
                                      const std::vector<FakeRun>& runs) const;
+  // For groups with synchronous replicas: no promotion discarded a write that
+  // was reported as done.
+  std::vector<std::string> CheckSynchronous(
+      const std::vector<FakeCommit>& commits) const;
   std::string Summary(const std::vector<FakeCommit>& commits) const;
   // Times from `event` until a write of each of the items was acknowledged.
   // Infinite for items without one.
--- a/Tests/platform/soak/call_history_test.cc
+++ b/Tests/platform/soak/call_history_test.cc
@@ -3,6 +3,7 @@
 #include "Tests/platform/soak/call_history.h"
 
 #include <string>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "doctest/doctest.h"
@@ -54,6 +55,21 @@
   CHECK(absl::StrContains(OnlyViolation({Commit(1), Commit(1)}), "twice"));
 }
 
+TEST_CASE_FIXTURE(HistoryFixture,
+                  "CallHistory_SynchronousWriteLostInPromotion_IsFound") {
+  Write(1, WriteOutcome::kDone, absl::Seconds(1));
+  Write(2, WriteOutcome::kUnknown, absl::Seconds(2));
+  FakeCommit unknown = Commit(2);
+  unknown.lost = true;
+  CHECK(m_history.CheckSynchronous({Commit(1), unknown}).empty());
+  FakeCommit done = Commit(1);
+  done.lost = true;
+  const std::vector<std::string> violations =
+      m_history.CheckSynchronous({done, unknown});
+  REQUIRE(violations.size() == 1);
+  CHECK(absl::StrContains(violations.front(), "write 1 of k"));
+}
+
 TEST_CASE_FIXTURE(HistoryFixture, "CallHistory_NotRunButCommitted_IsFound") {
   Write(1, WriteOutcome::kNotRun, absl::Seconds(1));
   CHECK(absl::StrContains(OnlyViolation({Commit(1)}),
--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -52,6 +52,8 @@
        "Inject only what the other options ask for.", nullptr},
       {"workspaces", 'w', POPT_ARG_INT, &options->workspaces, 0,
        "Workspaces with keys and quotas; 0 for none.", "NUMBER"},
+      {"sync-replicas", 'y', POPT_ARG_INT, &options->sync_replicas, 0,
+       "Replicas that receive a commit before it is acknowledged.", "NUMBER"},
       {"program", 'p', POPT_ARG_STRING, &program, 0,
        "The heatherwick-platform to start.", "PATH"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -70,14 +72,19 @@
     std::cerr << "heatherwick-soak: " << poptStrerror(parsed) << ": "
               << poptBadOption(context, 0) << "\n";
   } else if (options->program.empty() || options->instances < 1 ||
-             options->groups < 1 || options->workspaces < 0) {
+             options->groups < 1 || options->workspaces < 0 ||
+             options->sync_replicas < 0 ||
+             options->sync_replicas > kMaxSyncReplicas) {
     std::cerr << "heatherwick-soak: --program names the heatherwick-platform "
                  "to start; --instances and --groups are at least 1, "
-                 "--workspaces is at least 0\n";
+                 "--workspaces is at least 0, --sync-replicas is from 0 to "
+              << kMaxSyncReplicas << "\n";
   }
   poptFreeContext(context);
   return parsed == -1 && !options->program.empty() && options->instances > 0 &&
-         options->groups > 0 && options->workspaces >= 0;
+         options->groups > 0 && options->workspaces >= 0 &&
+         options->sync_replicas >= 0 &&
+         options->sync_replicas <= kMaxSyncReplicas;
 }
 
 int Main(int argc, const char** argv) {
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -126,6 +126,7 @@
 // `workspaces` is the list of them; empty if there is none.
 std::string Configuration(int version,
                           int groups,
+                          int sync_replicas,
                           const std::string& workspaces) {
   std::vector<std::string> routes;
   std::vector<std::string> services;
@@ -146,8 +147,11 @@
               group);
     add_route(CallerKind::kViews, "bounded_staleness", kViewsMaxStaleness,
               group);
-    services.push_back(
-        absl::StrCat(R"({"name":")", group, R"(","maxConnections":60})"));
+    services.push_back(absl::StrCat(
+        R"({"name":")", group, R"(","maxConnections":60)",
+        sync_replicas > 0 ? absl::StrCat(R"(,"syncReplicas":)", sync_replicas)
+                          : "",
+        "}"));
   }
   return absl::StrCat(R"({"version":)", version, R"(,"routes":[)",
                       absl::StrJoin(routes, ","), R"(],"services":[)",
@@ -165,6 +169,7 @@
       m_key_random(static_cast<uint32_t>(options.seed)),
       m_return_random(static_cast<uint32_t>(options.seed)),
       m_link_random(static_cast<uint32_t>(options.seed)),
+      m_replica_random(static_cast<uint32_t>(options.seed)),
       m_workspace_history(kRevocationLimit,
                           {absl::Seconds(5), kQuotaOvershoot, kQuotaSlack}) {
   std::string pattern =
@@ -186,9 +191,9 @@
                                    *QuotaAt(workspace));
     }
   }
-  m_store->Put(
-      "op", "config",
-      Configuration(m_configuration_version, options.groups, Workspaces()));
+  m_store->Put("op", "config",
+               Configuration(m_configuration_version, options.groups,
+                             options.sync_replicas, Workspaces()));
   // Earlier versions drew the ports from the seed, too; its faults stay the
   // same.
   m_random.discard(static_cast<uint64_t>(options.instances));
@@ -246,6 +251,7 @@
 void Soak::AddGroup(const std::string& name) {
   FakeGroupOptions options{kReplicaLag, absl::ZeroDuration()};
   options.first_term = m_options.long_faults ? kFirstTerm + m_groups.size() : 1;
+  options.sync_replicas = static_cast<uint32_t>(m_options.sync_replicas);
   m_groups.push_back(
       new FakeDatabaseGroup(name, kDatabaseCount, m_store, options,
                             [this](const std::string& address) {
@@ -268,9 +274,9 @@
 }
 
 void Soak::PutConfiguration() {
-  m_store->Put(
-      "op", "config",
-      Configuration(++m_configuration_version, m_options.groups, Workspaces()));
+  m_store->Put("op", "config",
+               Configuration(++m_configuration_version, m_options.groups,
+                             m_options.sync_replicas, Workspaces()));
 }
 
 std::string Soak::Workspaces() const {
@@ -493,6 +499,49 @@
   m_scheduled_ends.push_back({end, [group, id]() { group->Restart(id); }});
 }
 
+void Soak::CrashReplicas() {
+  FakeDatabaseGroup* const group =
+      m_groups[m_replica_random() % m_groups.size()];
+  const std::string primary = group->Primary();
+  std::vector<std::string> replicas = group->Names();
+  std::erase(replicas, primary);
+  std::shuffle(replicas.begin(), replicas.end(), m_replica_random);
+  // In half of the cases as many as a commit needs.
+  replicas.resize(m_replica_random() % 2 == 0
+                      ? static_cast<size_t>(m_options.sync_replicas)
+                      : 1);
+  CrashDatabase(group, primary,
+                SteadyNow() + DrawTime(kReplicaCrash, &m_replica_random));
+  for (const std::string& id : replicas) {
+    CrashDatabase(group, id,
+                  SteadyNow() + DrawTime(kReplicaCrash, &m_replica_random));
+  }
+  if (m_replica_random() % 2 == 0) {
+    m_scheduled_ends.push_back(
+        {SteadyNow() + DrawTime(kTimeToKillAllAfterCrash, &m_replica_random),
+         [this]() {
+           KillInstances(0, m_instances.size(), absl::ZeroDuration());
+         }});
+  }
+}
+
+void Soak::LoseReplicaLog() {
+  FakeDatabaseGroup* const group =
+      m_groups[m_replica_random() % m_groups.size()];
+  const std::vector<std::string> names = group->Names();
+  const std::string& id = names[m_replica_random() % names.size()];
+  const absl::Time end =
+      SteadyNow() + DrawTime(kLostLogRestart, &m_replica_random);
+  // More logs than one may be the only ones with a commit; the group then waits
+  // for them without end.
+  if (m_groups_with_lost_log.contains(group->Name()) || !group->LoseLog(id)) {
+    return;
+  }
+  m_groups_with_lost_log.insert(group->Name());
+  PrintEvent(absl::StrCat(id, " loses its log"));
+  m_scheduled_ends.push_back({end, [group, id]() { group->RestartEmpty(id); }});
+}
+
 void Soak::DrainDatabase(FakeDatabaseGroup* group, absl::Time end) {
   const std::string id = group->Primary();
   PrintEvent(absl::StrCat("drain ", id));
@@ -811,7 +860,15 @@
       m_options.peer_links ? SteadyNow() : absl::InfiniteFuture();
   absl::Time next_long_pause =
       m_options.long_faults ? SteadyNow() : absl::InfiniteFuture();
+  absl::Time next_replica_crash =
+      m_options.sync_replicas > 0 ? SteadyNow() : absl::InfiniteFuture();
   while (SteadyNow() < end) {
+    if (SteadyNow() >= next_replica_crash) {
+      CrashReplicas();
+      LoseReplicaLog();
+      next_replica_crash =
+          SteadyNow() + DrawTime(kTimeToCrashReplicas, &m_replica_random);
+    }
     if (SteadyNow() >= next_long_pause) {
       next_long_pause =
           PauseForLong() + DrawTime(kTimeToLongPause, &m_link_random);
@@ -878,6 +935,11 @@
   for (std::string& violation : m_history.Check(Commits())) {
     m_violations.push_back(std::move(violation));
   }
+  if (m_options.sync_replicas > 0) {
+    for (std::string& violation : m_history.CheckSynchronous(Commits())) {
+      m_violations.push_back(std::move(violation));
+    }
+  }
   for (FakeDatabaseGroup* group : m_groups) {
     for (std::string& violation :
          m_history.CheckRuns(group->Commits(), group->Runs())) {
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
 
 namespace heatherwick::platform {
 
+// Of the three databases of a group, one leads.
+inline constexpr int kMaxSyncReplicas = 2;
+
 struct SoakOptions {
   int seed = 1;
   int seconds = 20;
@@ -51,6 +55,9 @@
   // Workspaces with two keys each, of which all but the first have a quota. 0
   // for a configuration without workspaces.
   int workspaces = 0;
+  // Replicas that receive a commit before it is acknowledged. If there are any,
+  // the primary and replicas also crash together, and a replica loses its log.
+  int sync_replicas = 0;
   std::string program;
 };
 
@@ -95,6 +102,11 @@
   void CrashDatabase(FakeDatabaseGroup* group,
                      const std::string& id,
                      absl::Time end);
+  // Crashes the primary of a random group together with replicas, and often
+  // kills all instances before these are back.
+  void CrashReplicas();
+  // Lets a random replica start again without its log, once for each group.
+  void LoseReplicaLog();
   void DrainDatabase(FakeDatabaseGroup* group, absl::Time end);
   // Disturbs the way to the peers of a random instance, mostly together with
   // its way to the store. Returns when the links are restored.
@@ -163,6 +175,9 @@
   std::mt19937 m_link_random;
   // The instance that is paused for long, or nullptr.
   const InstanceProcess* m_long_paused = nullptr;
+  // Not m_random, whose draws stay the same without synchronous replicas.
+  std::mt19937 m_replica_random;
+  std::set<std::string> m_groups_with_lost_log;
   std::vector<absl::Time> m_returns;
   std::map<std::string, std::string> m_keys;  // Each key's present workspace.
   WorkspaceHistory m_workspace_history;
