test: Do not use a fixture after its test in the group's route

Cause: the databases of a fake group are never destroyed, and a replaced primary registers a second after the promotion, when the fixture of the test has been destroyed. The ordinary build showed nothing.

Change: the route holds the list of addresses, which is never destroyed either.

--- a/Tests/platform/platform_fakes_test.cc
+++ b/Tests/platform/platform_fakes_test.cc
@@ -107,11 +107,12 @@
       3,
       m_store,
       Options(),
-      [this](const std::string& address) {
-        // The databases register in the order of their names.
-        const size_t count = m_addresses->size();
+      // Not `this`: databases also register after the test has ended.
+      [addresses = m_addresses](const std::string& address) {
+        // They register first in the order of their names.
+        const size_t count = addresses->size();
         if (count < 3) {
-          (*m_addresses)["f-" + std::to_string(count)] = address;
+          (*addresses)["f-" + std::to_string(count)] = address;
         }
         return address;
       });
