test: Give repeated steps of the record's tests and of soak options one place

Cause: read again, replica_record_test wrote the loss of a log three times and looked up the announcement of a change twice, and heatherwick-soak listed the bounds of its options twice, once negated.

Change: LoseLog(), ChangeIsAnnounced() and in_range. All assertions, bounds and messages are the same.

--- a/Tests/gateway/replica_record_test.cc
+++ b/Tests/gateway/replica_record_test.cc
@@ -38,14 +38,17 @@
     Database(id).alive = false;
     Database(id).listed = false;
   }
-  // The target starts again with an empty log. Its entry is that of the earlier
-  // run for as long as a heartbeat may take.
-  void RestartEmpty(const TargetId& id) {
-    Database(id).registered_start = Database(id).started_unix_ms;
+  // The target starts again with an empty log.
+  void LoseLog(const TargetId& id) {
     Database(id).started_unix_ms = 2;
     Database(id).status.received = {1, 0};
-    Database(id).alive = true;
-    Database(id).listed = true;
+  }
+  // The target starts again with an empty log after a crash. Its entry is that
+  // of the earlier run for as long as a heartbeat may take.
+  void RestartEmpty(const TargetId& id) {
+    Database(id).registered_start = Database(id).started_unix_ms;
+    LoseLog(id);
+    Return(id);
     m_cluster->RunFor(absl::Milliseconds(1200));
     Database(id).registered_start.reset();
   }
@@ -59,6 +62,11 @@
         m_cluster->m_table.rows.find(LeadershipView::ReplicasKey("g0"));
     return row == m_cluster->m_table.rows.end() ? "" : row->second.value;
   }
+  bool ChangeIsAnnounced() const {
+    const auto leader =
+        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
+    return leader->second.value.find("\"open\":false") != std::string::npos;
+  }
   bool IsRecorded(const TargetId& id) const {
     return Record().find("\"" + id + "\"") != std::string::npos;
   }
@@ -122,8 +130,7 @@
   for (const std::string name : {"i0", "i1", "i2"}) {
     m_cluster->Kill(name);
   }
-  Database("g0-db1").started_unix_ms = 2;
-  Database("g0-db1").status.received = {1, 0};
+  LoseLog("g0-db1");
   m_cluster->RunFor(absl::Seconds(1));
   for (const std::string name : {"i0", "i1", "i2"}) {
     m_cluster->AddInstance(name);
@@ -239,11 +246,8 @@
   int changes = 0;
   for (int step = 0; step < 200 && m_cluster->promoted.empty(); ++step) {
     m_cluster->RunFor(absl::Milliseconds(50));
-    const auto leader =
-        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
     // An instance that saw a further target writes it just before the order.
-    if (changes == 0 &&
-        leader->second.value.find("\"open\":false") != std::string::npos) {
+    if (changes == 0 && ChangeIsAnnounced()) {
       StoredRow& row =
           m_cluster->m_table.rows[LeadershipView::ReplicasKey("g0")];
       ReplicaSet replicas;
@@ -270,16 +274,11 @@
     m_cluster->At(index).status_delay = absl::Milliseconds(300);
   }
   Crash("g0-db0");
-  for (int step = 0; step < 1000; ++step) {
+  for (int step = 0; step < 1000 && !ChangeIsAnnounced(); ++step) {
     m_cluster->m_loop.RunFor(absl::Milliseconds(5));
     for (size_t index = 0; index < 3; ++index) {
       m_cluster->At(index).ReportUnresponsivePrimaries();
     }
-    const auto leader =
-        m_cluster->m_table.rows.find(LeadershipView::LeaderKey("g0"));
-    if (leader->second.value.find("\"open\":false") != std::string::npos) {
-      break;
-    }
   }
   // The targets have been asked, and their answers are on their way.
   m_cluster->m_loop.RunFor(absl::Milliseconds(200));
@@ -347,8 +346,7 @@
   Crash("g0-db0");
   m_cluster->RunFor(absl::Milliseconds(1500));
   Return("g0-db0");
-  Database("g0-db0").started_unix_ms = 2;
-  Database("g0-db0").status.received = {1, 0};
+  LoseLog("g0-db0");
   m_cluster->RunFor(absl::Seconds(8));
   CHECK(m_cluster->promoted == std::vector<TargetId>{"g0-db1"});
   CHECK(m_cluster->AllUse("g0", "g0-db1"));
--- a/Tests/platform/soak/heatherwick_soak.cc
+++ b/Tests/platform/soak/heatherwick_soak.cc
@@ -68,23 +68,21 @@
   options->long_faults = long_faults != 0;
   options->calm = calm != 0;
   free(program);
+  const bool in_range = !options->program.empty() && options->instances > 0 &&
+                        options->groups > 0 && options->workspaces >= 0 &&
+                        options->sync_replicas >= 0 &&
+                        options->sync_replicas <= kMaxSyncReplicas;
   if (parsed < -1) {
     std::cerr << "heatherwick-soak: " << poptStrerror(parsed) << ": "
               << poptBadOption(context, 0) << "\n";
-  } else if (options->program.empty() || options->instances < 1 ||
-             options->groups < 1 || options->workspaces < 0 ||
-             options->sync_replicas < 0 ||
-             options->sync_replicas > kMaxSyncReplicas) {
+  } else if (!in_range) {
     std::cerr << "heatherwick-soak: --program names the heatherwick-platform "
                  "to start; --instances and --groups are at least 1, "
                  "--workspaces is at least 0, --sync-replicas is from 0 to "
               << kMaxSyncReplicas << "\n";
   }
   poptFreeContext(context);
-  return parsed == -1 && !options->program.empty() && options->instances > 0 &&
-         options->groups > 0 && options->workspaces >= 0 &&
-         options->sync_replicas >= 0 &&
-         options->sync_replicas <= kMaxSyncReplicas;
+  return parsed == -1 && in_range;
 }
 
 int Main(int argc, const char** argv) {
